Add a thin whole path as separate processes

An operator's tool applies a declaration through a node, the platform stand-in keeps it, every node watches it, and a call is answered by a target through either of two nodes.

Choice: the configuration is a manifest that refers to content-addressed blobs, so that one conditional update commits a whole set. Ruled out: one object per resource (no atomic set) and one large object (17 KB/s per node at the size to build towards, see docs/design.md section 3).

Before: nothing.

Targets are chosen at random and nothing is retried yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Every target works in a fresh clone with Go alone.
+
+MODULES := ./... ./testbed/...
+TOOL := go tool -modfile=$(CURDIR)/tools/go.mod
+
+.PHONY: build demo test race format lint generate generated
+
+build:
+	go build -o bin/ ./cmd/... ./testbed/cmd/...
+
+demo: build
+	bin/demo
+
+test:
+	go test $(MODULES)
+
+race:
+	go test -race $(MODULES)
+
+format:
+	GOWORK=off $(TOOL) gofumpt -w cmd pkg testbed
+
+lint:
+	@unformatted=$$(GOWORK=off $(TOOL) gofumpt -l cmd pkg testbed); \
+	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
+	go vet $(MODULES)
+	staticcheck=$$(GOWORK=off $(TOOL) -n staticcheck) && $$staticcheck -checks all,-ST1005,-ST1016 $(MODULES)
+
+generate:
+	GOWORK=off go generate ./...
+
+# Fails when the committed generated code is not what the schemas give.
+generated: generate
+	git diff --exit-code -- '*_gen.go'
--- /dev/null
+++ b/pkg/operator/doc.go
@@ -0,0 +1,2 @@
+// Package operator serves the resource API to operators.
+package operator
--- /dev/null
+++ b/testbed/platform/faults.go
@@ -0,0 +1,93 @@
+package platform
+
+import (
+	"sync"
+	"time"
+)
+
+// Faults is what the stand-in is told to do wrong.
+type Faults struct {
+	// Down refuses every call with 503.
+	Down bool `json:"down"`
+	// DelayMs delays every call by this many milliseconds.
+	DelayMs int `json:"delayMs"`
+	// LoseAnswers drops the connection after this many further writes took effect.
+	LoseAnswers int `json:"loseAnswers"`
+	// VMListLagMs delays changes of the VM list by this many milliseconds.
+	VMListLagMs int `json:"vmListLagMs"`
+}
+
+// Counts is how often the platform was called.
+type Counts struct {
+	Reads       uint64 `json:"reads"`
+	Writes      uint64 `json:"writes"`
+	Watches     uint64 `json:"watches"`
+	RateLimited uint64 `json:"rateLimited"`
+}
+
+// limiter is a token bucket for one kind of call.
+type limiter struct {
+	rate   float64 // calls per second
+	tokens float64
+	last   time.Time
+}
+
+func (l *limiter) allow(now time.Time) bool {
+	l.tokens += now.Sub(l.last).Seconds() * l.rate
+	l.tokens = min(l.tokens, l.rate)
+	l.last = now
+	if l.tokens < 1 {
+		return false
+	}
+	l.tokens--
+	return true
+}
+
+// gate applies faults and rates, and counts calls.
+type gate struct {
+	mu     sync.Mutex
+	faults Faults
+	counts Counts
+	reads  limiter
+	writes limiter
+}
+
+// verdict is what is to be done with one call.
+type verdict struct {
+	delay      time.Duration
+	down       bool
+	limited    bool
+	loseAnswer bool
+}
+
+func (g *gate) admit(write bool, now time.Time) verdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	bucket := &g.reads
+	if write {
+		g.counts.Writes++
+		bucket = &g.writes
+	} else {
+		g.counts.Reads++
+	}
+	v := verdict{delay: time.Duration(g.faults.DelayMs) * time.Millisecond, down: g.faults.Down}
+	if v.down {
+		return v
+	}
+	if !bucket.allow(now) {
+		g.counts.RateLimited++
+		v.limited = true
+		return v
+	}
+	if write && g.faults.LoseAnswers > 0 {
+		g.faults.LoseAnswers--
+		v.loseAnswer = true
+	}
+	return v
+}
+
+func (g *gate) isDown() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.faults.Down
+}
