Judge a new version per route by sequential tests

Rollouts need a verdict that may be read at any time without adding false alarms. Each route has a failure test and a slowness test; each is a mixture likelihood ratio on the source of the events, mixed over all starting periods with weights that add up to 1.

--- /dev/null
+++ b/pkg/judge/doc.go
@@ -0,0 +1,28 @@
+// Package judge decides whether a new version is worse than the old one, from
+// counts of both over the same periods.
+//
+// Each route has two tests: one on failures, one on answers slower than the old
+// version's 95th percentile. A test looks at the source of each event. Given the
+// requests of both versions in a period, and a new version whose event rate is at
+// most Margin times the old one's, an event comes from the new version with
+// probability at most Margin*new/(Margin*new+old). The likelihood ratio of a
+// larger rate against this bound is a test supermartingale. The test mixes it
+// over several rates and over all starting periods, with weights that add up to
+// 1, so it is an e-process: the probability that it ever reaches 1/alpha is at
+// most alpha, however often and whenever it is read. Mixing over starting
+// periods keeps the test sensitive after long good behaviour: the delay grows
+// with the logarithm of the time passed, while a plain cumulative ratio would
+// first have to make up for all the good periods.
+//
+// Error rate: a Judge made with alpha raises a false alarm with probability at
+// most alpha over its whole life, divided evenly over routes and tests, when
+// events of one period are independent of each other. Events that come in bursts
+// (one target that stalls) are not independent; the evidence of a single period
+// is therefore capped, so that no single burst decides. Judges on several nodes
+// add up: each is to be given its part of alpha.
+//
+// The percentile is taken from earlier periods of the old version, which makes
+// it independent of the period tested, and it follows the load: an overload that
+// hits both versions raises the events of both and is no evidence. Requests to
+// targets that are still cold are not to be passed in; the caller filters them.
+package judge
--- /dev/null
+++ b/pkg/judge/judge.go
@@ -0,0 +1,108 @@
+package judge
+
+import (
+	"sort"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/outcome"
+)
+
+// Alpha is the probability with which a rollout of a good version may be taken
+// back, over the whole rollout.
+const Alpha = 0.001
+
+// testsPerRoute is the failure test and the slowness test.
+const testsPerRoute = 2
+
+// Judge compares two versions of one service on its routes.
+type Judge struct {
+	// alpha is the error rate of a single test.
+	alpha float64
+	// scale brings a test's value to the scale on which 1/alpha of the whole judge alarms.
+	scale  float64
+	routes map[string]*route
+}
+
+type route struct {
+	failures  *test
+	slow      *test
+	threshold threshold
+	evidence  api.Evidence
+}
+
+// New returns a judge with error rate alpha over all the routes together.
+func New(alpha float64, routes []string) *Judge {
+	tests := max(1, testsPerRoute*len(routes))
+	j := &Judge{alpha: alpha / float64(tests), scale: 1 / float64(tests), routes: map[string]*route{}}
+	for _, name := range routes {
+		j.routes[name] = &route{failures: newTest(j.alpha), slow: newTest(j.alpha), evidence: api.Evidence{Route: name}}
+	}
+	return j
+}
+
+// Observe takes in what both versions did on a route in the same period, one
+// call per period and route. Periods of one to two seconds suit: shorter ones
+// hold too few events, longer ones delay the verdict. A route that New was not
+// given is ignored, since the error rate was not divided for it.
+func (j *Judge) Observe(name string, old, new outcome.Counts) {
+	r, ok := j.routes[name]
+	if !ok {
+		return
+	}
+	r.observe(old, new)
+}
+
+func (r *route) observe(old, new outcome.Counts) {
+	r.failures.observe(exposure{old.Requests, old.Failures, new.Requests, new.Failures})
+	limit, known := r.threshold.slowMicros()
+	if known {
+		slow := exposure{old.Timed(), old.Above(limit), new.Timed(), new.Above(limit)}
+		r.slow.observe(slow)
+		r.evidence.OldSlow += slow.oldEvents
+		r.evidence.NewSlow += slow.newEvents
+	}
+	r.threshold.add(old)
+	r.evidence.OldRequests += old.Requests
+	r.evidence.OldFailures += old.Failures
+	r.evidence.NewRequests += new.Requests
+	r.evidence.NewFailures += new.Failures
+}
+
+// Verdict tells whether the new version is bad on any route, and the evidence on
+// all routes, the strongest first. Bad stays true once it was true. EValue is
+// scaled to be compared with 1/alpha of the whole judge.
+func (j *Judge) Verdict() (bad bool, evidence []api.Evidence) {
+	for _, r := range j.routes {
+		peak := max(r.failures.peak, r.slow.peak)
+		bad = bad || peak >= 1/j.alpha
+		found := r.evidence
+		found.EValue = peak * j.scale
+		evidence = append(evidence, found)
+	}
+	sort.Slice(evidence, func(a, b int) bool {
+		if evidence[a].EValue != evidence[b].EValue {
+			return evidence[a].EValue > evidence[b].EValue
+		}
+		return evidence[a].Route < evidence[b].Route
+	})
+	return bad, evidence
+}
+
+// Exposure returns how many requests of the new version were observed on the
+// route that had the fewest, among routes with at least one in ten of the old
+// version's requests. A raise waits for evidence on each route that matters,
+// without being held up by a route that is hardly called.
+func (j *Judge) Exposure() int {
+	total := 0
+	for _, r := range j.routes {
+		total += r.evidence.OldRequests
+	}
+	least := -1
+	for _, r := range j.routes {
+		minor := r.evidence.OldRequests*10 < total
+		if !minor && (least < 0 || r.evidence.NewRequests < least) {
+			least = r.evidence.NewRequests
+		}
+	}
+	return max(0, least)
+}
--- /dev/null
+++ b/pkg/judge/judge_test.go
@@ -0,0 +1,165 @@
+package judge
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fireflychute/fireflychute/pkg/outcome"
+)
+
+// behaviour is how one version answers in a period.
+type behaviour struct {
+	requests   int
+	failRatio  float64
+	slowFactor float64
+}
+
+func (b behaviour) counts(random *rand.Rand) outcome.Counts {
+	counts := outcome.Counts{Requests: b.requests, Histogram: outcome.NewHistogram()}
+	for range b.requests {
+		if random.Float64() < b.failRatio {
+			counts.Failures++
+			continue
+		}
+		_ = counts.Histogram.RecordValue(int64(5000 * max(1, b.slowFactor) * (0.5 + 0.5*random.ExpFloat64())))
+	}
+	return counts
+}
+
+// alarmAt returns the period in which the judge says bad, or -1.
+func alarmAt(seed uint64, periods int, at func(period int) (old, new behaviour)) int {
+	random := rand.New(rand.NewPCG(seed, 0))
+	j := New(Alpha, []string{"a", "b"})
+	for period := range periods {
+		old, new := at(period)
+		j.Observe("a", old.counts(random), new.counts(random))
+		if bad, _ := j.Verdict(); bad {
+			return period
+		}
+	}
+	return -1
+}
+
+// Guards against each kind of bad version going unseen, or being seen only long after it became bad.
+func TestBadVersionsAreSeen(t *testing.T) {
+	cases := []struct {
+		name   string
+		from   int
+		within int
+		bad    behaviour
+	}{
+		{"failing at once", 0, 8, behaviour{requests: 20, failRatio: 0.3}},
+		{"slow at once", 0, 12, behaviour{requests: 20, slowFactor: 3}},
+		{"failing after an hour of good behaviour", 1800, 10, behaviour{requests: 20, failRatio: 0.3}},
+		{"slow after an hour of good behaviour", 1800, 15, behaviour{requests: 20, slowFactor: 3}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			at := alarmAt(1, c.from+c.within, func(period int) (behaviour, behaviour) {
+				old := behaviour{requests: 400, failRatio: 0.002}
+				if period < c.from {
+					return old, behaviour{requests: 20, failRatio: 0.002}
+				}
+				return old, c.bad
+			})
+			g.Expect(at).To(BeNumerically(">=", c.from))
+		})
+	}
+}
+
+// Guards against blaming a good version under the stated error rate of 0.001 per
+// rollout, read after each period. The background has an overload that fails and slows both versions.
+func TestGoodVersionsAreNotBlamed(t *testing.T) {
+	g := NewWithT(t)
+	alarms := 0
+	for seed := range uint64(150) {
+		at := alarmAt(seed, 100, func(period int) (behaviour, behaviour) {
+			b := behaviour{requests: 60, failRatio: 0.005}
+			if period >= 40 && period < 60 {
+				b = behaviour{requests: 60, failRatio: 0.3, slowFactor: 5}
+			}
+			old := b
+			old.requests = 60 + period%3*60
+			return old, b
+		})
+		if at >= 0 {
+			alarms++
+		}
+	}
+	t.Logf("%d false alarms in 150 rollouts", alarms)
+	g.Expect(alarms).To(BeNumerically("<=", 1))
+}
+
+// Guards against an error rate above the one stated, at the worst good version: it
+// has Margin times the old version's event rate and is read after each of 400 periods.
+func TestErrorRateAtTheMargin(t *testing.T) {
+	g := NewWithT(t)
+	const alpha, runs = 0.05, 1000
+	random := rand.New(rand.NewPCG(5, 0))
+	alarms := 0
+	for range runs {
+		e := newTest(alpha)
+		for range 400 {
+			e.observe(exposure{200, draw(random, 200, 0.02), 100, draw(random, 100, 0.02*Margin)})
+		}
+		if e.peak >= 1/alpha {
+			alarms++
+		}
+	}
+	t.Logf("error rate %.4f, stated %.4f", float64(alarms)/runs, alpha)
+	g.Expect(alarms).To(BeNumerically("<=", alpha*runs))
+}
+
+func draw(random *rand.Rand, n int, probability float64) int {
+	drawn := 0
+	for range n {
+		if random.Float64() < probability {
+			drawn++
+		}
+	}
+	return drawn
+}
+
+// Guards against one burst of failures, as a crashed target gives, being taken for a bad version.
+func TestOneBurstDoesNotDecide(t *testing.T) {
+	g := NewWithT(t)
+	at := alarmAt(3, 200, func(period int) (behaviour, behaviour) {
+		old := behaviour{requests: 400, failRatio: 0.002}
+		if period == 50 {
+			return old, behaviour{requests: 20, failRatio: 0.6}
+		}
+		return old, behaviour{requests: 20, failRatio: 0.002}
+	})
+	g.Expect(at).To(Equal(-1))
+}
+
+// Guards against a verdict that is taken back, and against evidence that does not name the route.
+func TestVerdictStaysAndNamesTheRoute(t *testing.T) {
+	g := NewWithT(t)
+	j := New(Alpha, []string{"a", "b"})
+	for range 10 {
+		j.Observe("b", outcome.Counts{Requests: 100}, outcome.Counts{Requests: 100, Failures: 50})
+	}
+	for range 5000 {
+		j.Observe("b", outcome.Counts{Requests: 100, Failures: 5}, outcome.Counts{Requests: 100})
+	}
+	bad, evidence := j.Verdict()
+	g.Expect(bad).To(BeTrue())
+	g.Expect(evidence[0].Route).To(Equal("b"))
+	g.Expect(evidence[0].EValue).To(BeNumerically(">=", 1/Alpha))
+	g.Expect(evidence[1].EValue).To(BeNumerically("<", 1))
+}
+
+// Guards against a raise that rests on one busy route while another was never tried.
+func TestExposureIsThatOfTheLeastServedRoute(t *testing.T) {
+	g := NewWithT(t)
+	j := New(Alpha, []string{"a", "b", "rare"})
+	g.Expect(j.Exposure()).To(BeZero())
+	j.Observe("a", outcome.Counts{Requests: 1000}, outcome.Counts{Requests: 100})
+	j.Observe("b", outcome.Counts{Requests: 500}, outcome.Counts{Requests: 7})
+	j.Observe("rare", outcome.Counts{Requests: 5}, outcome.Counts{})
+	g.Expect(j.Exposure()).To(Equal(7))
+}
--- /dev/null
+++ b/pkg/judge/test.go
@@ -0,0 +1,75 @@
+package judge
+
+import "math"
+
+// Margin is how many times the old version's event rate the new version may
+// have without being blamed. Below 2, one target with a noisy neighbour among a
+// handful of targets looks like a bad version.
+const Margin = 2.0
+
+// ratios are the event rates, relative to the old version's, that the test mixes.
+var ratios = []float64{4, 8, 16, 40, 100}
+
+// maxSum keeps a test that goes on after its alarm from overflowing.
+const maxSum = 1e200
+
+// exposure is the requests and events of both versions in one period.
+type exposure struct {
+	oldRequests, oldEvents int
+	newRequests, newEvents int
+}
+
+// test is the e-process of one kind of event on one route.
+type test struct {
+	// sums has, for each ratio, the weighted products over all starting periods.
+	sums []float64
+	// periods is how many periods with events were taken in.
+	periods int
+	// periodCap is the largest factor that one period contributes.
+	periodCap float64
+	// peak is the largest value so far. It decides, since the bound holds for
+	// the maximum over all time.
+	peak float64
+}
+
+func newTest(alpha float64) *test {
+	return &test{sums: make([]float64, len(ratios)), periodCap: 1 / math.Sqrt(alpha), peak: 1}
+}
+
+// observe takes in one period. A period in which only one version had requests,
+// or neither had events, carries no evidence.
+func (t *test) observe(e exposure) {
+	if e.oldRequests == 0 || e.newRequests == 0 || e.oldEvents+e.newEvents == 0 {
+		return
+	}
+	weight := reserve(t.periods) - reserve(t.periods+1)
+	t.periods++
+	value := reserve(t.periods)
+	for i, ratio := range ratios {
+		t.sums[i] = min((t.sums[i]+weight)*t.factor(e, ratio), maxSum)
+		value += t.sums[i] / float64(len(ratios))
+	}
+	t.peak = max(t.peak, value)
+}
+
+// factor is the likelihood ratio of one period. Lowering it to the cap leaves it
+// a valid e-value.
+func (t *test) factor(e exposure, ratio float64) float64 {
+	blamed := sourceProbability(e, ratio)
+	excused := sourceProbability(e, Margin)
+	log := float64(e.newEvents)*math.Log(blamed/excused) + float64(e.oldEvents)*math.Log((1-blamed)/(1-excused))
+	return min(math.Exp(log), t.periodCap)
+}
+
+// sourceProbability is the probability that an event comes from the new version
+// if its event rate is ratio times the old version's.
+func sourceProbability(e exposure, ratio float64) float64 {
+	scaled := ratio * float64(e.newRequests)
+	return scaled / (scaled + float64(e.oldRequests))
+}
+
+// reserve is the weight left for starting periods after the first n. It begins
+// at 1 and falls so slowly that a start after 2,000 periods still has 1e-5.
+func reserve(n int) float64 {
+	return 1 / math.Log(float64(n)+math.E)
+}
