--- /dev/null
+++ b/pkg/datacentre/next.go
@@ -0,0 +1,161 @@
+package datacentre
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+)
+
+// MaxDecisions is how many decisions a status keeps.
+const MaxDecisions = 50
+
+// Types of the conditions of a data centre.
+const (
+	ConditionProgressing = "Progressing"
+	ConditionCompleted   = "Completed"
+)
+
+// Reasons of conditions and decisions.
+const (
+	ReasonInFlight        = "RequestsInFlight"
+	ReasonNewWork         = "NewWorkSent"
+	ReasonNodesUnreported = "NodesNotReported"
+	ReasonDrained         = "Drained"
+	ReasonColdTargets     = "ColdTargets"
+	ReasonWarm            = "TargetsWarm"
+	ReasonDeclared        = "Declared"
+)
+
+// Observed is what the nodes report of a data centre under the present generation.
+type Observed struct {
+	// InFlight is how many requests are in flight at its targets, over all nodes.
+	InFlight int
+	// SentNew is how many requests were sent to its targets since the previous
+	// observation, over all nodes.
+	SentNew int
+	// Targets and Cold are its live targets and how many of them are cold.
+	Targets, Cold int
+	// Unreported is how many nodes have not applied this generation or have not
+	// reported. Their requests are not in the counts above.
+	Unreported int
+}
+
+// Next returns the status that is to be stored, and whether it differs from the
+// given one, which is not changed. Called again with the same input it changes
+// nothing. A status written under a higher epoch or for a higher generation is
+// left alone. Under a new epoch the first call only rewrites the status.
+//
+// Out is Completed when all nodes have reported, nothing is in flight and no new
+// work was sent; it is Progressing again when new work is seen. In is Completed
+// when no target is cold, and stays so: a target that becomes cold later is no
+// part of the move.
+func Next(now time.Time, node string, epoch int, spec api.DataCentreSpec, generation int, status api.DataCentreStatus, observed Observed) (api.DataCentreStatus, bool) {
+	if epoch < status.Epoch || generation < status.Generation {
+		return status, false
+	}
+	next := status
+	next.Epoch = epoch
+	if epoch > status.Epoch && status.Epoch > 0 {
+		return next, true
+	}
+	next.Decisions = slices.Clone(status.Decisions)
+	m := move{now: now, node: node, status: next}
+	if generation > status.Generation {
+		m.start(spec, generation)
+	}
+	m.step(spec, observed)
+	return m.status, !reflect.DeepEqual(status, m.status)
+}
+
+// move holds the input of one call and the status being built.
+type move struct {
+	now    time.Time
+	node   string
+	status api.DataCentreStatus
+}
+
+func (m *move) start(spec api.DataCentreSpec, generation int) {
+	m.status.Generation = generation
+	m.status.Phase = api.PhasePending
+	m.status.Conditions = nil
+	m.decide(string(spec.State), ReasonDeclared)
+}
+
+func (m *move) step(spec api.DataCentreSpec, observed Observed) {
+	completedIn := spec.State == api.DataCentreStateIn && m.status.Phase == api.PhaseCompleted
+	if completedIn {
+		return
+	}
+	m.status.InFlight = observed.InFlight
+	reason, message, done := waiting(spec, observed)
+	phase := api.PhaseProgressing
+	if done {
+		phase = api.PhaseCompleted
+	}
+	if phase != m.status.Phase {
+		m.status.Phase = phase
+		m.decide(string(phase), reason)
+	}
+	m.set(ConditionProgressing, !done, reason, message)
+	m.set(ConditionCompleted, done, reason, message)
+}
+
+// waiting says what the move waits for, or that it is done.
+func waiting(spec api.DataCentreSpec, observed Observed) (reason, message string, done bool) {
+	if observed.Unreported > 0 {
+		return ReasonNodesUnreported, fmt.Sprintf("%d nodes have not reported this generation", observed.Unreported), false
+	}
+	if spec.State == api.DataCentreStateIn {
+		return warming(observed)
+	}
+	return draining(observed)
+}
+
+func draining(observed Observed) (reason, message string, done bool) {
+	switch {
+	case observed.SentNew > 0:
+		return ReasonNewWork, "new work was sent to its targets", false
+	case observed.InFlight > 0:
+		return ReasonInFlight, fmt.Sprintf("%d requests in flight", observed.InFlight), false
+	default:
+		return ReasonDrained, "nothing is in flight and no new work was sent", true
+	}
+}
+
+func warming(observed Observed) (reason, message string, done bool) {
+	if observed.Cold > 0 {
+		return ReasonColdTargets, fmt.Sprintf("%d of %d targets are cold", observed.Cold, observed.Targets), false
+	}
+	return ReasonWarm, "no target is cold", true
+}
+
+// set replaces the condition of the same type. The time of the last transition
+// changes only with the status.
+func (m *move) set(kind string, holds bool, reason, message string) {
+	wanted := api.Condition{Type: kind, Status: api.ConditionStatusFalse, Reason: reason, Message: message, LastTransitionTime: m.now}
+	if holds {
+		wanted.Status = api.ConditionStatusTrue
+	}
+	conditions := slices.Clone(m.status.Conditions)
+	at := slices.IndexFunc(conditions, func(c api.Condition) bool { return c.Type == kind })
+	if at < 0 {
+		m.status.Conditions = append(conditions, wanted)
+		return
+	}
+	if conditions[at].Status == wanted.Status {
+		wanted.LastTransitionTime = conditions[at].LastTransitionTime
+	}
+	conditions[at] = wanted
+	m.status.Conditions = conditions
+}
+
+func (m *move) decide(action, reason string) {
+	m.status.Decisions = append(m.status.Decisions, api.Decision{Time: m.now, Node: m.node, Action: action, Reason: reason})
+	dropped := len(m.status.Decisions) - MaxDecisions
+	if dropped > 0 {
+		m.status.Decisions = m.status.Decisions[dropped:]
+	}
+}
