Add the ramp level of cold targets

A cold target fails under a load that a warm one bears. The level starts at 1 unit in all and doubles only after level x 8 requests were served well by the owner's own count. A failure returns it to 1; more slow than well served requests halve it. A target is cold again when its latency is above 3 x its own past while its served rate falls below 0.7 x the past rate. The served count of load reports is not used as evidence, because it does not tell well served requests from failed ones.

--- /dev/null
+++ b/pkg/ramp/ramp.go
@@ -0,0 +1,150 @@
+package ramp
+
+const (
+	// firstLevel is the level of a cold target. A cold target fails under load
+	// that a warm one bears.
+	firstLevel = 1
+	// servedPerUnit is how many requests per unit of the level are to be served
+	// well before the level doubles.
+	servedPerUnit = 8
+	// slowRatio is the ratio to the service's reference latency above which a
+	// request does not count as served well.
+	slowRatio = 2
+	// coldLatencyRatio is the ratio to the target's own past latency that, with a
+	// falling served rate, shows that the target is cold again.
+	coldLatencyRatio = 3
+	// fallingRatio is the ratio to the past served rate below which it is falling.
+	fallingRatio = 0.7
+	// memory is the weight of the newest window in the past averages.
+	memory = 0.05
+	// minWindows is how many windows the past averages need before they are used.
+	minWindows = 20
+)
+
+// Window is what one node saw of a target since the previous window. Requests
+// that were sent before the present level began are not in it.
+type Window struct {
+	// Well counts requests that were served and were not slow.
+	Well int
+	// Slow counts requests that were served slowly.
+	Slow int
+	// Failed counts failed requests.
+	Failed int
+	// LatencyMicros is the mean latency in microseconds; 0 when nothing was served.
+	LatencyMicros int64
+	// Seconds is the length of the window.
+	Seconds float64
+}
+
+// Move is the effect of a window on the level.
+type Move int
+
+// Effects of a window.
+const (
+	Stay Move = iota
+	Raise
+	Lower
+	ColdAgain
+)
+
+// Ramp is the level of one incarnation of a target.
+type Ramp struct {
+	level   int
+	served  int
+	past    past
+	windows int
+}
+
+type past struct {
+	latency float64
+	rate    float64
+}
+
+// New returns the ramp of a cold target.
+func New() *Ramp {
+	return &Ramp{level: firstLevel}
+}
+
+// IsSlow tells whether a request is too slow to count as served well. A
+// reference of 0 means that none is known.
+func IsSlow(latencyMicros, referenceMicros int64) bool {
+	return referenceMicros > 0 && latencyMicros > slowRatio*referenceMicros
+}
+
+// Level returns the requests that may be in flight from all nodes together.
+func (r *Ramp) Level() int {
+	return r.level
+}
+
+// Set adopts a level that another node decided.
+func (r *Ramp) Set(level int) {
+	if level != r.level {
+		r.served = 0
+	}
+	r.level = max(level, firstLevel)
+}
+
+// Reset returns to the level of a cold target and forgets the past.
+func (r *Ramp) Reset() {
+	*r = Ramp{level: firstLevel}
+}
+
+// Observe moves the level by the evidence of one window. limit is the level of a
+// warm target. Only the owner may raise. Time alone never raises the level.
+func (r *Ramp) Observe(window Window, limit int, owner bool) Move {
+	if r.coldAgain(window) {
+		r.Reset()
+		return ColdAgain
+	}
+	r.remember(window)
+	if r.level >= limit {
+		return Stay
+	}
+	if window.Failed > 0 {
+		return r.lower(firstLevel)
+	}
+	if window.Slow > window.Well {
+		return r.lower(r.level / 2)
+	}
+	r.served += window.Well
+	if !owner || r.served < servedPerUnit*r.level {
+		return Stay
+	}
+	r.level = min(r.level*2, limit)
+	r.served = 0
+	return Raise
+}
+
+func (r *Ramp) lower(level int) Move {
+	r.served = 0
+	if r.level == firstLevel {
+		return Stay
+	}
+	r.level = max(level, firstLevel)
+	return Lower
+}
+
+func (r *Ramp) coldAgain(window Window) bool {
+	if r.windows < minWindows || window.LatencyMicros == 0 || window.Seconds <= 0 {
+		return false
+	}
+	slow := float64(window.LatencyMicros) > coldLatencyRatio*r.past.latency
+	return slow && rate(window) < fallingRatio*r.past.rate
+}
+
+func (r *Ramp) remember(window Window) {
+	if window.LatencyMicros == 0 || window.Seconds <= 0 {
+		return
+	}
+	weight := memory
+	if r.windows == 0 {
+		weight = 1
+	}
+	r.windows++
+	r.past.latency += weight * (float64(window.LatencyMicros) - r.past.latency)
+	r.past.rate += weight * (rate(window) - r.past.rate)
+}
+
+func rate(window Window) float64 {
+	return float64(window.Well+window.Slow) / window.Seconds
+}
--- /dev/null
+++ b/pkg/ramp/ramp_test.go
@@ -0,0 +1,82 @@
+package ramp
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+const limit = 12
+
+func well(n int) Window {
+	return Window{Well: n, LatencyMicros: 10_000, Seconds: 0.1}
+}
+
+// Guards against a level that rises by time, by too few requests or by requests
+// that another node saw.
+func TestLevelRisesOnlyOnRequestsServedWell(t *testing.T) {
+	g := NewWithT(t)
+	r := New()
+	for range 1000 {
+		r.Observe(Window{Seconds: 0.1}, limit, true)
+		r.Observe(Window{Slow: 1, LatencyMicros: 10_000, Seconds: 0.1}, limit, true)
+	}
+	g.Expect(r.Level()).To(Equal(1))
+	r.Observe(well(7), limit, true)
+	g.Expect(r.Level()).To(Equal(1))
+	g.Expect(r.Observe(well(1), limit, true)).To(Equal(Raise))
+	r.Observe(well(100), limit, false)
+	g.Expect(r.Level()).To(Equal(2))
+}
+
+// Guards against a level that stays up after a cold target failed or slowed.
+func TestLevelFalls(t *testing.T) {
+	g := NewWithT(t)
+	r := New()
+	r.Set(8)
+	g.Expect(r.Observe(Window{Well: 1, Slow: 2, LatencyMicros: 1, Seconds: 0.1}, limit, false)).To(Equal(Lower))
+	g.Expect(r.Level()).To(Equal(4))
+	g.Expect(r.Observe(Window{Well: 9, Failed: 1, LatencyMicros: 1, Seconds: 0.1}, limit, false)).To(Equal(Lower))
+	g.Expect(r.Level()).To(Equal(1))
+}
+
+// Guards against missing that a target is cold again under the same incarnation,
+// and against taking low demand or slowness alone for it.
+func TestColdAgain(t *testing.T) {
+	g := NewWithT(t)
+	r := New()
+	r.Set(limit)
+	for range 2 * minWindows {
+		r.Observe(well(10), limit, true)
+	}
+	g.Expect(r.Observe(well(2), limit, true)).To(Equal(Stay))
+	slow := Window{Slow: 10, LatencyMicros: 40_000, Seconds: 0.1}
+	g.Expect(r.Observe(slow, limit, true)).To(Equal(Stay))
+	slow.Slow = 2
+	g.Expect(r.Observe(slow, limit, true)).To(Equal(ColdAgain))
+	g.Expect(r.Level()).To(Equal(1))
+}
+
+// Guards against any sequence of windows that raises the level by more than a
+// doubling or with less than 8 well served requests per unit.
+func TestEveryRaiseIsPaidFor(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r, served := New(), 0
+		for range rapid.IntRange(1, 200).Draw(t, "windows") {
+			window := Window{
+				Well: rapid.IntRange(0, 20).Draw(t, "well"), Slow: rapid.IntRange(0, 5).Draw(t, "slow"),
+				Failed: max(rapid.IntRange(-20, 1).Draw(t, "failed"), 0), LatencyMicros: 1000, Seconds: 0.1,
+			}
+			before := r.Level()
+			move := r.Observe(window, limit, true)
+			served += window.Well
+			if r.Level() > before && (r.Level() > 2*before || served < servedPerUnit*before || window.Failed > 0) {
+				t.Fatalf("level %d to %d after %d served, window %+v", before, r.Level(), served, window)
+			}
+			if move != Stay {
+				served = 0
+			}
+		}
+	})
+}
