Add fair queueing for busy services

Without it a noisy caller fills a service's queue. Turns follow the product of the caller's and the kind's weight (stride scheduling); equal turns go to the more urgent priority. Strict priority was ruled out because it starves the other kinds.

--- /dev/null
+++ b/pkg/admission/queue.go
@@ -0,0 +1,183 @@
+package admission
+
+import "time"
+
+// Request is what the queue needs to know of a request.
+type Request struct {
+	// Caller is the name of the caller group.
+	Caller       string
+	CallerWeight int
+	// Kind is the name of the kind of work.
+	Kind string
+	// Priority of the kind; lower values are served first on equal turns and
+	// refused last.
+	Priority   int
+	KindWeight int
+	// Deadline after which the request is not sent; zero means none.
+	Deadline time.Time
+}
+
+// Ticket is a waiting request.
+type Ticket struct {
+	Request Request
+	// Refusal is set when the ticket was evicted.
+	Refusal *Refusal
+	flow    *flow
+}
+
+// flow has the waiting requests of one caller and kind, oldest first.
+type flow struct {
+	key      flowKey
+	weight   float64
+	pass     float64 // virtual time of its next turn
+	priority int
+	tickets  []*Ticket
+}
+
+type flowKey struct {
+	caller, kind string
+}
+
+type callerShare struct {
+	waiting int
+	weight  int
+}
+
+// Queue is bounded. It is served by weighted turns (stride scheduling) over kinds
+// and callers. It is not safe for concurrent use.
+type Queue struct {
+	limit   int
+	waiting int
+	flows   []*flow // those with waiting requests
+	callers map[string]callerShare
+	pass    float64 // virtual time of the last turn
+	rate    meter
+}
+
+// NewQueue returns a queue of at most limit requests.
+func NewQueue(limit int) *Queue {
+	return &Queue{limit: limit, callers: map[string]callerShare{}}
+}
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int {
+	return q.waiting
+}
+
+// Push adds a request. When the queue is full, an expired request leaves, or else
+// the newest request of the caller that is most above its share; evicted is its
+// ticket. If that caller is the request's own, the request is refused instead.
+func (q *Queue) Push(now time.Time, request Request) (ticket, evicted *Ticket, refusal *Refusal) {
+	if expired(now, request) {
+		return nil, nil, &Refusal{Reason: ReasonExpired, RetryAfter: minRetryAfter}
+	}
+	if q.waiting >= q.limit {
+		evicted = q.victim(now, request)
+		if evicted == nil {
+			return nil, nil, q.refusal(now, ReasonFull)
+		}
+		q.evict(now, evicted)
+	}
+	ticket = &Ticket{Request: request}
+	q.add(ticket)
+	return ticket, evicted, nil
+}
+
+// Pop returns the request whose turn it is, or nil, and the requests whose
+// deadline passed before their turn.
+func (q *Queue) Pop(now time.Time) (ticket *Ticket, expiredTickets []*Ticket) {
+	for q.waiting > 0 {
+		next := q.next()
+		ticket = next.tickets[0]
+		q.Remove(ticket)
+		if expired(now, ticket.Request) {
+			expiredTickets = append(expiredTickets, ticket)
+			continue
+		}
+		q.pass = next.pass
+		next.pass += 1 / next.weight
+		q.rate.count(now)
+		return ticket, expiredTickets
+	}
+	return nil, expiredTickets
+}
+
+// Remove takes a ticket out, for example when its caller gave up. A ticket that
+// is no longer waiting is ignored.
+func (q *Queue) Remove(ticket *Ticket) {
+	f := ticket.flow
+	if f == nil {
+		return
+	}
+	for i, waiting := range f.tickets {
+		if waiting == ticket {
+			f.tickets = append(f.tickets[:i], f.tickets[i+1:]...)
+			break
+		}
+	}
+	ticket.flow = nil
+	q.waiting--
+	q.uncount(ticket.Request.Caller)
+	if len(f.tickets) == 0 {
+		q.drop(f)
+	}
+}
+
+func (q *Queue) add(ticket *Ticket) {
+	request := ticket.Request
+	f := q.flowOf(request)
+	f.tickets = append(f.tickets, ticket)
+	ticket.flow = f
+	q.waiting++
+	share := q.callers[request.Caller]
+	q.callers[request.Caller] = callerShare{waiting: share.waiting + 1, weight: max(request.CallerWeight, 1)}
+}
+
+// flowOf finds or adds a flow. A new flow starts at the present virtual time plus
+// one turn, so it neither catches up on turns from when it was empty nor takes a
+// turn early by being emptied and filled again.
+func (q *Queue) flowOf(request Request) *flow {
+	key := flowKey{request.Caller, request.Kind}
+	for _, f := range q.flows {
+		if f.key == key {
+			return f
+		}
+	}
+	weight := float64(max(request.CallerWeight, 1) * max(request.KindWeight, 1))
+	f := &flow{key: key, weight: weight, pass: q.pass + 1/weight, priority: request.Priority}
+	q.flows = append(q.flows, f)
+	return f
+}
+
+func (q *Queue) next() *flow {
+	best := q.flows[0]
+	for _, f := range q.flows[1:] {
+		if f.pass < best.pass || f.pass == best.pass && f.priority < best.priority {
+			best = f
+		}
+	}
+	return best
+}
+
+func (q *Queue) drop(gone *flow) {
+	for i, f := range q.flows {
+		if f == gone {
+			q.flows = append(q.flows[:i], q.flows[i+1:]...)
+			return
+		}
+	}
+}
+
+func (q *Queue) uncount(caller string) {
+	share := q.callers[caller]
+	share.waiting--
+	if share.waiting == 0 {
+		delete(q.callers, caller)
+		return
+	}
+	q.callers[caller] = share
+}
+
+func expired(now time.Time, request Request) bool {
+	return !request.Deadline.IsZero() && !now.Before(request.Deadline)
+}
