Derive the states of targets from the list and evidence

A node had only the platform's lagging list. The registry joins it with health answers, response headers, refused connections and facts of peers.

Incarnations are numbered; the number is the epoch of a target's facts, and a target is leaving while its newest leaving incarnation is the current one. A state that each signal could set and clear was ruled out, because old lists, late responses and late facts would bring a leaving target back. In the list only the change to leaving is a signal, because the list still shows it when the next incarnation is running. A target missing from the list keeps its state and is forgotten 10 minutes after it left.

Failures count as slow responses (at least 100 ms) in the average latency, so a target that fails fast does not attract traffic. Without traffic the average returns to the reference by 1/64 per collection, so an avoided target is tried again.

--- /dev/null
+++ b/pkg/target/collect.go
@@ -0,0 +1,95 @@
+package target
+
+import (
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/ramp"
+)
+
+// forgetLatency is the divisor of the part by which, at each collection, the
+// average latency of a target without traffic returns to the reference. A target
+// that is avoided for its latency is thereby tried again after some seconds.
+const forgetLatency = 64
+
+// Collect reads the counters, steps the ramps and returns the facts that changed
+// since the last call, to be published. nodes is the counted fleet.
+func (r *Registry) Collect(now time.Time, nodes []string, services map[string]api.ServiceSpec) []Fact {
+	facts := []Fact{}
+	for _, address := range r.order {
+		s := r.targets[address]
+		spec := services[s.service]
+		s.limit = spec.Slots + spec.Queue
+		s.takeReport()
+		s.step(s.window(now, spec), r.rankOf(s, nodes) == 0)
+		facts = append(facts, s.takeFacts()...)
+	}
+	return facts
+}
+
+func (s *state) takeReport() {
+	report := s.counters.LastReport.Load()
+	if report != nil && report != s.seen.report {
+		s.seen.report = report
+		s.report(*report, ReasonHeader)
+	}
+	if !s.leaving() && s.counters.flagged() {
+		s.leave(ReasonHeader)
+	}
+}
+
+// window returns what happened since the previous collection.
+func (s *state) window(now time.Time, spec api.ServiceSpec) ramp.Window {
+	c := s.counters
+	well, slow, failed := c.Succeeded.Load(), c.Slow.Load(), c.Failed.Load()
+	window := ramp.Window{
+		Well: int(well - s.seen.well), Slow: int(slow - s.seen.slow), Failed: int(failed - s.seen.failed),
+		Seconds: now.Sub(s.seen.at).Seconds(),
+	}
+	if s.seen.at.IsZero() {
+		window.Seconds = 0
+	}
+	s.seen.at, s.seen.well, s.seen.slow, s.seen.failed = now, well, slow, failed
+	served, spent := c.spentCount.Swap(0), c.spentSum.Swap(0)
+	if served > 0 {
+		window.LatencyMicros = spent / served
+	}
+	if window.Well+window.Slow+window.Failed == 0 && c.InFlight.Load() == 0 {
+		s.forgetLatency(spec)
+	}
+	s.skipCarried(&window)
+	return window
+}
+
+// skipCarried takes requests that were sent before the level began out of the
+// evidence for raising it.
+func (s *state) skipCarried(window *ramp.Window) {
+	skipped := min(s.carried, window.Well)
+	window.Well -= skipped
+	s.carried -= skipped
+}
+
+func (s *state) forgetLatency(spec api.ServiceSpec) {
+	old := s.counters.LatencyMicros.Load()
+	reference := int64(spec.ReferenceLatencyMs) * time.Millisecond.Microseconds()
+	if old > reference {
+		s.counters.LatencyMicros.CompareAndSwap(old, old-(old-reference)/forgetLatency)
+	}
+}
+
+func (s *state) step(window ramp.Window, owner bool) {
+	if s.limit == 0 {
+		return
+	}
+	move := s.level.Observe(window, s.limit, owner)
+	switch move {
+	case ramp.Stay:
+		return
+	case ramp.Raise:
+		s.sequence++
+	case ramp.Lower, ramp.ColdAgain:
+		s.sequence += lowerStep
+	}
+	s.carried = int(s.counters.InFlight.Load())
+	s.rampChanged = true
+}
--- a/pkg/target/counters.go
+++ b/pkg/target/counters.go
@@ -1,6 +1,26 @@
 package target
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/ramp"
+)
+
+const (
+	// latencyWeight is the divisor of a sample's weight in the average latency: a
+	// sudden slowdown shows after a few responses.
+	latencyWeight = 8
+	// failurePenalty is the factor by which a failure counts as slower than the
+	// average. Without it a target that fails fast looks fast and idle and attracts
+	// traffic.
+	failurePenalty = 4
+	// minFailureLatency is the lowest latency in microseconds that a failure counts as.
+	minFailureLatency = 100_000
+	// maxFailureLatency bounds in microseconds what a fast failure counts as, so that
+	// a target recovers in about 40 good responses from any series of failures.
+	maxFailureLatency = 2_000_000
+)
 
 // Counters is the state of one target that traffic goroutines update. One value
 // lives as long as the target is known and is shared by all snapshots.
@@ -11,14 +31,97 @@
 	Sent atomic.Uint64
 	// Succeeded counts the requests that the target served well.
 	Succeeded atomic.Uint64
+	// Slow counts the requests that the target served too slowly to count as well.
+	Slow atomic.Uint64
 	// Failed counts the requests that the target failed.
 	Failed atomic.Uint64
+	// Refused counts connections that were refused or could not be set up.
+	Refused atomic.Uint64
 	// Leaving stops new work as soon as any evidence of leaving is seen.
 	Leaving atomic.Bool
-	// LatencyMicros is a moving average of the response time in microseconds.
+	// LatencyMicros is a moving average of the response time in microseconds, in
+	// which failures count as slow responses.
 	LatencyMicros atomic.Int64
 	// LastReport is the newest load report that a response carried.
 	LastReport atomic.Pointer[Report]
+	// incarnation is the incarnation that the registry considers current.
+	incarnation atomic.Pointer[string]
+	// draining is the incarnation of the report that set Leaving.
+	draining atomic.Pointer[string]
+	// spentSum and spentCount hold the latency of served requests since the last window.
+	spentSum   atomic.Int64
+	spentCount atomic.Int64
+}
+
+// Done counts a response. referenceMicros is the service's reference latency.
+func (c *Counters) Done(latency time.Duration, failed bool, referenceMicros int64) {
+	micros := latency.Microseconds()
+	switch {
+	case failed:
+		c.Failed.Add(1)
+		micros = max(micros, minFailureLatency, min(failurePenalty*c.LatencyMicros.Load(), maxFailureLatency))
+	case ramp.IsSlow(micros, referenceMicros):
+		c.Slow.Add(1)
+	default:
+		c.Succeeded.Add(1)
+	}
+	if !failed {
+		c.spentSum.Add(micros)
+		c.spentCount.Add(1)
+	}
+	c.average(micros)
+}
+
+// Reported stores a report that a response carried. Draining takes the target out
+// at once, unless the report is of another incarnation than the current one, which
+// the registry decides on.
+func (c *Counters) Reported(report *Report) {
+	report.SentBefore = c.Sent.Load()
+	c.LastReport.Store(report)
+	if report.Draining && c.isCurrent(report.Incarnation) {
+		c.draining.Store(&report.Incarnation)
+		c.Leaving.Store(true)
+	}
+}
+
+// restart makes incarnation current and available. A late report of the previous
+// incarnation can still set Leaving afterwards; flagged clears that.
+func (c *Counters) restart(incarnation string) {
+	c.incarnation.Store(&incarnation)
+	c.draining.Store(nil)
+	c.Leaving.Store(false)
+}
+
+// flagged tells whether traffic has set Leaving for the current incarnation.
+func (c *Counters) flagged() bool {
+	if !c.Leaving.Load() {
+		return false
+	}
+	draining := c.draining.Load()
+	if draining == nil || c.isCurrent(*draining) {
+		return true
+	}
+	c.Leaving.Store(false)
+	return false
+}
+
+func (c *Counters) isCurrent(incarnation string) bool {
+	current := c.incarnation.Load()
+	return current == nil || *current == "" || *current == incarnation
+}
+
+func (c *Counters) average(micros int64) {
+	micros = max(micros, 1)
+	for {
+		old := c.LatencyMicros.Load()
+		next := micros
+		if old > 0 {
+			next = max(old+(micros-old)/latencyWeight, 1)
+		}
+		if c.LatencyMicros.CompareAndSwap(old, next) {
+			return
+		}
+	}
 }
 
 // Report is a load report with the local time at which it arrived.
--- /dev/null
+++ b/pkg/target/properties_test.go
@@ -0,0 +1,229 @@
+package target
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/share"
+)
+
+const address = "10.0.0.1:80"
+
+var start = time.Unix(1000, 0)
+
+func listOf(version int, state api.VMState) api.VMList {
+	return api.VMList{Version: version, VMs: []api.VM{{Address: address, Role: roleTarget, Service: "s", DataCentre: "a", State: state, Version: "v1"}}}
+}
+
+func specs(budget float64) map[string]api.ServiceSpec {
+	return map[string]api.ServiceSpec{"s": {Slots: 6, Queue: 6, MeasuringBudget: budget, ReferenceLatencyMs: 20}}
+}
+
+func fleetOf(size int) []string {
+	nodes := make([]string, size)
+	for i := range nodes {
+		nodes[i] = fmt.Sprintf("node-%d", i)
+	}
+	return nodes
+}
+
+// P1. Guards against a fleet that exceeds a target's measuring budget, with
+// refused connections, failing probes and nodes that know only themselves.
+func TestP1ProbesStayWithinBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := fleetOf(rapid.IntRange(1, 30).Draw(t, "nodes"))
+		budget := rapid.Float64Range(0.2, 20).Draw(t, "budget")
+		refusing := rapid.Bool().Draw(t, "refusing")
+		alone := rapid.IntRange(0, len(nodes)).Draw(t, "alone")
+		seconds := rapid.IntRange(5, 60).Draw(t, "seconds")
+		registries := []*Registry{}
+		for _, node := range nodes {
+			r := NewRegistry(node)
+			r.AssumeFleet(len(nodes))
+			r.ApplyList(start, listOf(1, api.VMStateLive))
+			registries = append(registries, r)
+		}
+		spent := 0
+		for tick := range seconds * 10 {
+			now := start.Add(time.Duration(tick) * 100 * time.Millisecond)
+			for i, r := range registries {
+				known := nodes
+				if i < alone {
+					known = nodes[i : i+1]
+				}
+				if refusing {
+					r.Entries()[0].Counters.Refused.Add(1)
+				}
+				for _, probe := range r.Probes(now, known, specs(budget)) {
+					spent += probe.Operations
+					r.Probed(now, ProbeResult{Address: probe.Address, Report: Report{Incarnation: "i1"}})
+				}
+			}
+			if float64(spent) > budget*now.Sub(start).Seconds()+1e-6 {
+				t.Fatalf("%d operations after %v with a budget of %v per second", spent, now.Sub(start), budget)
+			}
+		}
+	})
+}
+
+// coldTarget bears twice as much after each level x 8 served requests.
+type coldTarget struct{ inFlight, served int }
+
+func (c *coldTarget) bears() int {
+	level, needed := 1, 8
+	for c.served >= needed {
+		level *= 2
+		needed += 8 * level
+	}
+	return level
+}
+
+// P2. Guards against a cold target that gets more in flight from all nodes than it
+// bears or than its ramp level, while facts arrive late and in any order.
+func TestP2ColdTargetStaysWithinLevel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := fleetOf(rapid.IntRange(1, 19).Draw(t, "nodes"))
+		registries := []*Registry{}
+		for _, node := range nodes {
+			r := NewRegistry(node)
+			r.ApplyList(start, listOf(1, api.VMStateLive))
+			registries = append(registries, r)
+		}
+		target, pending, highest := coldTarget{}, []Fact{}, 1
+		for step := range rapid.IntRange(10, 60).Draw(t, "steps") {
+			now := start.Add(time.Duration(step) * 100 * time.Millisecond)
+			for i, r := range registries {
+				entry := r.Entries()[0]
+				for int(entry.Counters.InFlight.Load()) < share.Units(address, nodes[i], nodes, entry.Units) {
+					entry.Counters.InFlight.Add(1)
+					target.inFlight++
+				}
+			}
+			if target.inFlight > target.bears() || target.inFlight > highest {
+				t.Fatalf("%d in flight, target bears %d, level %d", target.inFlight, target.bears(), highest)
+			}
+			for _, r := range registries {
+				counters := r.Entries()[0].Counters
+				slow := rapid.IntRange(0, 9).Draw(t, "latency") == 0
+				for range rapid.Int64Range(0, counters.InFlight.Load()).Draw(t, "answered") {
+					counters.InFlight.Add(-1)
+					target.inFlight--
+					target.served++
+					latency := 10 * time.Millisecond
+					if slow {
+						latency = time.Second
+					}
+					counters.Done(latency, false, 20_000)
+				}
+				pending = append(pending, r.Collect(now, nodes, specs(1))...)
+				highest = max(highest, r.Entries()[0].Units)
+			}
+			if len(pending) > 0 {
+				fact := pending[rapid.IntRange(0, len(pending)-1).Draw(t, "fact")]
+				registries[rapid.IntRange(0, len(nodes)-1).Draw(t, "to")].ApplyFact(now, fact)
+			}
+		}
+	})
+}
+
+// leavingModel states what P8 promises: any signal takes the present incarnation
+// out, and only the next one returns.
+type leavingModel struct {
+	r           *Registry
+	incarnation int
+	leaving     bool
+	version     int
+	listed      api.VMState
+}
+
+func name(incarnation int) string { return fmt.Sprintf("i%d", incarnation) }
+
+func (m *leavingModel) respond(incarnation int, draining bool) {
+	m.r.Entries()[0].Counters.Reported(&Report{Incarnation: name(incarnation), Draining: draining})
+}
+
+func (m *leavingModel) list(state api.VMState) {
+	m.version++
+	m.r.ApplyList(start, listOf(m.version, state))
+	m.leaving = m.leaving || state == api.VMStateLeaving && m.listed != state
+	m.listed = state
+}
+
+func (m *leavingModel) fact(key string, back int) {
+	epoch := uint64(m.incarnation - back)
+	value := factValue{Incarnation: name(m.incarnation - back), Level: 12}
+	m.r.ApplyFact(start, Fact{Key: key + address, Epoch: epoch, Version: 1000, Value: encode(value)})
+}
+
+func (m *leavingModel) step(kind int) {
+	switch kind {
+	case 0, 1:
+		m.list([]api.VMState{api.VMStateLive, api.VMStateLeaving}[kind])
+	case 2: // an old list, and one that an outage emptied
+		m.r.ApplyList(start, listOf(m.version-1, api.VMStateLive))
+		m.r.ApplyList(start, api.VMList{Version: m.version})
+	case 3:
+		m.respond(m.incarnation, true)
+		m.leaving = true
+	case 4:
+		m.respond(m.incarnation, false)
+	case 5: // late responses of the previous incarnation
+		if m.incarnation > 1 {
+			m.respond(m.incarnation-1, true)
+			m.r.Collect(start, fleetOf(1), specs(1))
+			m.respond(m.incarnation-1, false)
+		}
+	case 6:
+		m.r.Entries()[0].Counters.Refused.Add(1)
+		m.r.Probes(start, fleetOf(1), specs(1))
+		m.r.Probed(start, ProbeResult{Address: address, Failed: true, Refused: true})
+		m.leaving = true
+	case 7:
+		m.fact(KeyLeaving, 0)
+		m.leaving = true
+	case 8:
+		m.fact(KeyRamp, 0)
+		if m.incarnation > 1 {
+			m.fact(KeyRamp, 1)
+			m.fact(KeyLeaving, 1)
+		}
+	case 9:
+		m.r.Probed(start, ProbeResult{Address: address, Report: Report{Incarnation: name(m.incarnation), Draining: true}})
+		m.leaving = true
+	case 10, 11:
+		m.incarnation++
+		m.leaving = false
+		if kind == 10 {
+			m.respond(m.incarnation, false)
+		} else {
+			m.r.Probed(start, ProbeResult{Address: address, Report: Report{Incarnation: name(m.incarnation)}})
+		}
+	}
+}
+
+// P8. Guards against a leaving target that receives new work again without a new
+// incarnation, and against one that never returns.
+func TestP8LeavingTargetStaysOut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &leavingModel{r: NewRegistry("node-0"), incarnation: 1, version: 1, listed: api.VMStateLive}
+		m.r.ApplyList(start, listOf(1, api.VMStateLive))
+		m.respond(1, false)
+		m.r.Collect(start, fleetOf(1), specs(1))
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			kind := rapid.IntRange(0, 11).Draw(t, "kind")
+			m.step(kind)
+			if m.leaving && kind == 3 && !m.r.Entries()[0].Counters.Leaving.Load() {
+				t.Fatal("traffic did not stop at once")
+			}
+			m.r.Collect(start, fleetOf(1), specs(1))
+			entry := m.r.Entries()[0]
+			if entry.Leaving != m.leaving || entry.Counters.Leaving.Load() != m.leaving {
+				t.Fatalf("kind %d: leaving %v, flag %v, expected %v", kind, entry.Leaving, entry.Counters.Leaving.Load(), m.leaving)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/target/registry.go
@@ -0,0 +1,232 @@
+package target
+
+import (
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/share"
+)
+
+const (
+	roleTarget = "target"
+	// forgetAfter is how long a leaving target that the list no longer shows is
+	// remembered, so that late lists and facts do not bring it back.
+	forgetAfter = 10 * time.Minute
+	// maxUnlisted bounds the targets known from facts alone.
+	maxUnlisted = 4096
+)
+
+// Reason says which signal changed a target.
+type Reason string
+
+// Signals.
+const (
+	ReasonList        Reason = "list"
+	ReasonHealth      Reason = "health answer"
+	ReasonHeader      Reason = "response header"
+	ReasonRefused     Reason = "refused connection and failed probe"
+	ReasonIncarnation Reason = "new incarnation"
+	ReasonFact        Reason = "fact"
+	ReasonEvidence    Reason = "served requests"
+)
+
+// ChangeKind says what changed.
+type ChangeKind int
+
+// Kinds of change.
+const (
+	Added ChangeKind = iota
+	Left
+	Returned
+	LevelChanged
+	Forgotten
+)
+
+// Change is a change of a target's state.
+type Change struct {
+	Address string
+	Kind    ChangeKind
+	Reason  Reason
+}
+
+// Entry is the state of one target as a snapshot needs it.
+type Entry struct {
+	Address     string
+	Service     string
+	DataCentre  string
+	Version     string
+	Incarnation string
+	// Units is how many requests all nodes together may have in flight.
+	Units int
+	// Cold tells that Units is below the level of a warm target.
+	Cold bool
+	// Leaving tells that the target receives no new work.
+	Leaving bool
+	// Reason is the signal that showed that it is leaving.
+	Reason   Reason
+	Counters *Counters
+}
+
+// Registry derives the states of all targets. Only the control goroutine uses it.
+type Registry struct {
+	self        string
+	targets     map[string]*state
+	order       []string // addresses, sorted, so that results are reproducible
+	listVersion int
+	nodes       []string
+	fleet       int // size of the fleet last heard from a peer
+}
+
+// NewRegistry returns an empty registry of the node self.
+func NewRegistry(self string) *Registry {
+	return &Registry{self: self, targets: map[string]*state{}}
+}
+
+// ApplyList takes in the platform's list. An older list than the last is ignored. A
+// target that the list no longer shows keeps its state, because the list is
+// incomplete after platform outages.
+func (r *Registry) ApplyList(now time.Time, list api.VMList) []Change {
+	if list.Version < r.listVersion {
+		return nil
+	}
+	r.listVersion = list.Version
+	changes := []Change{}
+	shown := map[string]bool{}
+	for _, vm := range list.VMs {
+		if vm.Role != roleTarget {
+			continue
+		}
+		shown[vm.Address] = true
+		changes = append(changes, r.applyVM(vm)...)
+	}
+	for _, address := range r.order {
+		r.targets[address].missing(now, shown[address])
+	}
+	return append(changes, r.forget(now)...)
+}
+
+func (r *Registry) applyVM(vm api.VM) []Change {
+	s := r.state(vm.Address)
+	changes := []Change{}
+	if !s.listed {
+		changes = append(changes, Change{Address: vm.Address, Kind: Added, Reason: ReasonList})
+	}
+	s.listed, s.service, s.dataCentre = true, vm.Service, vm.DataCentre
+	if s.incarnation == "" || s.version == "" {
+		s.version = vm.Version // a report knows it better than the lagging list
+	}
+	// Only the change to leaving is a signal: the list may still show it when the
+	// next incarnation is already running.
+	if vm.State == api.VMStateLeaving && s.listState != string(vm.State) {
+		changes = append(changes, s.leave(ReasonList)...)
+	}
+	s.listState = string(vm.State)
+	return changes
+}
+
+func (s *state) missing(now time.Time, shown bool) {
+	if s.present && !shown {
+		s.absentAt = now
+	}
+	s.present = shown
+}
+
+// forget drops targets that have been leaving and absent for long.
+func (r *Registry) forget(now time.Time) []Change {
+	changes := []Change{}
+	for _, address := range r.order {
+		s := r.targets[address]
+		if s.listed && !s.present && s.leaving() && now.Sub(s.absentAt) >= forgetAfter {
+			delete(r.targets, address)
+			changes = append(changes, Change{Address: address, Kind: Forgotten, Reason: ReasonList})
+		}
+	}
+	r.order = slices.DeleteFunc(r.order, func(address string) bool { return r.targets[address] == nil })
+	return changes
+}
+
+// ApplyFact takes in a fact from a peer. Facts of other kinds and invalid facts are
+// ignored.
+func (r *Registry) ApplyFact(now time.Time, fact Fact) []Change {
+	value, ok := decode(fact)
+	if !ok || !IsTargetFact(fact.Key) {
+		return nil
+	}
+	_, address, _ := strings.Cut(fact.Key, "/")
+	if r.targets[address] == nil && len(r.targets) >= maxUnlisted {
+		return nil
+	}
+	s := r.state(address)
+	if strings.HasPrefix(fact.Key, KeyLeaving) {
+		return s.applyLeaving(fact, value)
+	}
+	return s.applyRamp(fact, value)
+}
+
+// Facts returns the facts that hold at this node, for a peer that asks for all.
+func (r *Registry) Facts() []Fact {
+	facts := []Fact{}
+	for _, address := range r.order {
+		s := r.targets[address]
+		s.leavingChanged = s.leftEpoch > 0
+		s.rampChanged = s.sequence > 0
+		facts = append(facts, s.takeFacts()...)
+	}
+	return facts
+}
+
+// ResetDataCentre makes the targets of a data centre cold again, for when it
+// returns to service.
+func (r *Registry) ResetDataCentre(now time.Time, dataCentre string) {
+	for _, address := range r.order {
+		if r.targets[address].dataCentre == dataCentre {
+			r.targets[address].chill()
+		}
+	}
+}
+
+// Entries returns the listed targets, ordered by address.
+func (r *Registry) Entries() []Entry {
+	entries := make([]Entry, 0, len(r.order))
+	for _, address := range r.order {
+		s := r.targets[address]
+		if !s.listed {
+			continue
+		}
+		entries = append(entries, Entry{
+			Address: s.address, Service: s.service, DataCentre: s.dataCentre, Version: s.version, Incarnation: s.incarnation,
+			Units: s.units(), Cold: s.cold(), Leaving: s.leaving(), Reason: s.reason, Counters: s.counters,
+		})
+	}
+	return entries
+}
+
+func (r *Registry) state(address string) *state {
+	s := r.targets[address]
+	if s == nil {
+		s = newState(address)
+		r.targets[address] = s
+		at := sort.SearchStrings(r.order, address)
+		r.order = slices.Insert(r.order, at, address)
+	}
+	return s
+}
+
+// rankOf returns this node's rank for a target. Ranks are kept while the fleet
+// stays the same, because hashing every node for every target 10 times a second
+// costs several percent of a core at full size.
+func (r *Registry) rankOf(s *state, nodes []string) int {
+	if !slices.Equal(r.nodes, nodes) {
+		r.nodes = slices.Clone(nodes)
+		for _, other := range r.targets {
+			other.rank = -1
+		}
+	}
+	if s.rank < 0 {
+		s.rank = share.Rank(s.address, r.self, nodes)
+	}
+	return s.rank
+}
--- /dev/null
+++ b/pkg/target/registry_test.go
@@ -0,0 +1,91 @@
+package target
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+)
+
+// Guards against a node that learns of a leaving target from a peer only and keeps
+// sending, and against a peer's late fact that takes the next incarnation out.
+func TestFactsTravel(t *testing.T) {
+	g := NewWithT(t)
+	a, b := NewRegistry("node-0"), NewRegistry("node-1")
+	b.ApplyList(start, listOf(1, api.VMStateLive))
+	a.ApplyList(start, listOf(1, api.VMStateLive))
+	a.Entries()[0].Counters.Reported(&Report{Incarnation: "i1", Draining: true})
+	leaving := a.Collect(start, fleetOf(2), specs(1))
+	g.Expect(leaving).NotTo(BeEmpty())
+	for _, fact := range leaving {
+		b.ApplyFact(start, fact)
+	}
+	g.Expect(b.Entries()[0].Leaving).To(BeTrue())
+	b.Probed(start, ProbeResult{Address: address, Report: Report{Incarnation: "i2"}})
+	g.Expect(b.Entries()[0].Leaving).To(BeFalse())
+	for _, fact := range append(leaving, Fact{Key: "ramp/" + address, Epoch: 9, Value: []byte("{")}) {
+		b.ApplyFact(start, fact)
+	}
+	g.Expect(b.Entries()[0].Leaving).To(BeFalse())
+	for _, fact := range b.Facts() {
+		a.ApplyFact(start, fact)
+	}
+	g.Expect(a.Entries()[0].Leaving).To(BeFalse())
+	g.Expect(a.Entries()[0].Units).To(Equal(1))
+}
+
+// Guards against a warm level that survives a data centre's return, and against a
+// node that raises without being the owner.
+func TestLevelOfOwnerAndReset(t *testing.T) {
+	g := NewWithT(t)
+	owner, other := NewRegistry("node-0"), NewRegistry("node-9")
+	for i, r := range []*Registry{owner, other} {
+		r.ApplyList(start, listOf(1, api.VMStateLive))
+		for step := range 200 {
+			r.Entries()[0].Counters.Done(time.Millisecond, false, 20_000)
+			r.Collect(start.Add(time.Duration(step)*time.Second), fleetOf(1 + 9*i)[:1], specs(1))
+		}
+	}
+	g.Expect(owner.Entries()[0].Cold).To(BeFalse())
+	g.Expect(owner.Entries()[0].Units).To(Equal(12))
+	g.Expect(other.Entries()[0].Units).To(Equal(1))
+	owner.ResetDataCentre(start, "a")
+	g.Expect(owner.Entries()[0].Units).To(Equal(1))
+}
+
+// Guards against raising a level on requests that were sent below it.
+func TestRequestsFromBelowTheLevelDoNotCount(t *testing.T) {
+	g := NewWithT(t)
+	r := NewRegistry("node-0")
+	r.ApplyList(start, listOf(1, api.VMStateLive))
+	counters := r.Entries()[0].Counters
+	answer := func(n int) {
+		for range n {
+			counters.Done(time.Millisecond, false, 20_000)
+		}
+		r.Collect(start, fleetOf(1), specs(1))
+	}
+	counters.InFlight.Store(5)
+	answer(8)
+	g.Expect(r.Entries()[0].Units).To(Equal(2))
+	answer(20)
+	g.Expect(r.Entries()[0].Units).To(Equal(2))
+	answer(1)
+	g.Expect(r.Entries()[0].Units).To(Equal(4))
+}
+
+// Guards against a target that fails fast and so looks faster than the others.
+func TestFastFailuresCountAsSlow(t *testing.T) {
+	g := NewWithT(t)
+	counters := &Counters{}
+	for range 5 {
+		counters.Done(time.Millisecond, true, 20_000)
+	}
+	g.Expect(counters.LatencyMicros.Load()).To(BeNumerically(">=", 100_000))
+	for range 60 {
+		counters.Done(time.Millisecond, false, 20_000)
+	}
+	g.Expect(counters.LatencyMicros.Load()).To(BeNumerically("<", 20_000))
+}
