Add the membership state machine

Nodes need one view of the fleet, facts that outlive partitions, and a fleet size by which limits can be divided safely.

A node's part of a limit shrinks when the counted fleet grows, so limits hold if each node that uses units is counted by each other such node. The model test broke a first version in which a node used its units at once: two nodes that started together knew nothing of a third and handed out 9 units of 7, and a reply meant for an earlier process of the same name let a node join alone. A starting or resumed node now waits until every counted member acknowledged it and a digest exchange with an established member brought nothing further (Joined). The model also found that a restarted node kept the revision of its previous process, and that a node whose seeds were all replaced stayed alone; it now also asks the addresses in the platform's list.

Seen to fail with the mechanism broken: failed members not counted, Joined always true, no refutation, epoch ignored when facts are compared.

--- /dev/null
+++ b/pkg/membership/machine.go
@@ -0,0 +1,242 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/message"
+)
+
+// Machine is the membership state of one node.
+type Machine struct {
+	self      Member
+	left      bool
+	seeds     []string
+	random    *rand.Rand
+	now       time.Time
+	lastTick  time.Time
+	lastHeard time.Time
+
+	members map[string]*entry
+	ring    []string // members still to ping in this round
+	probes  map[uint64]*probe
+	relays  map[uint64]relay
+	facts   factTable
+
+	sequence   uint64
+	nextGossip time.Time
+	nextSync   time.Time
+	nextSeed   time.Time
+	nextFailed time.Time
+	pushTokens int
+	selfSends  int // remaining sends of the own entry
+	revSends   int // remaining sends of the own revision
+	heardFleet int // largest counted fleet that a peer reported lately
+	heardAt    time.Time
+	join       joinState
+	listed     map[string]bool // peer addresses in the last list; nil before the first
+}
+
+// probe is a ping whose ack is awaited.
+type probe struct {
+	target   string
+	deadline time.Time
+	indirect bool
+}
+
+// relay is a ping sent in place of another node.
+type relay struct {
+	address  string
+	sequence uint64
+	target   string
+	deadline time.Time
+}
+
+// New returns the state of a node that knows only its seeds, which are peer
+// addresses. The incarnation should be higher than at the previous start; if it
+// is not, the node raises it when a peer reports a higher one.
+func New(self Member, seeds []string, random *rand.Rand, now time.Time) *Machine {
+	self.State = Alive
+	m := &Machine{
+		self: self, random: random, now: now, lastTick: now, nextGossip: now, nextSeed: now,
+		members: map[string]*entry{}, probes: map[uint64]*probe{}, relays: map[uint64]relay{},
+		// An earlier process of this name may still receive answers.
+		sequence: uint64(random.Uint32()) << 24,
+		facts:    newFactTable(), pushTokens: pushBurst,
+		nextSync: now.Add(time.Duration(random.Int64N(int64(syncInterval)))),
+	}
+	for _, seed := range seeds {
+		if seed != self.Address {
+			m.seeds = append(m.seeds, seed)
+		}
+	}
+	m.join.started = now
+	return m
+}
+
+// Tick runs the timers. It should be called at least once per GossipInterval.
+func (m *Machine) Tick(now time.Time) []Outgoing {
+	m.now = now
+	if m.left {
+		return nil
+	}
+	if now.Sub(m.lastTick) > pauseGap {
+		m.resume(now.Sub(m.lastTick))
+	}
+	m.lastTick = now
+	out := m.expireProbes()
+	m.expireMembers()
+	if now.Before(m.nextGossip) {
+		return out
+	}
+	m.nextGossip = now.Add(GossipInterval)
+	m.pushTokens = min(m.pushTokens+1, pushBurst)
+	out = append(out, m.pingNext()...)
+	out = append(out, m.pingSeeds()...)
+	out = append(out, m.pingFailed()...)
+	out = append(out, m.stepJoin()...)
+	if !now.Before(m.nextSync) {
+		m.nextSync = now.Add(syncInterval)
+		out = append(out, m.startSync()...)
+	}
+	return out
+}
+
+// Handle processes a message from the peer with the given name.
+func (m *Machine) Handle(now time.Time, from string, received Message) []Outgoing {
+	m.now = now
+	if m.left || from == m.self.Name {
+		return nil
+	}
+	m.lastHeard = now
+	reply := received.Address
+	switch {
+	case received.Ping != nil:
+		return m.handlePing(from, reply, received.Ping)
+	case received.Ack != nil:
+		return m.handleAck(from, reply, received.Ack)
+	case received.PingRequest != nil:
+		return m.handlePingRequest(from, reply, received.PingRequest)
+	case received.SyncRequest != nil:
+		return m.handleSyncRequest(reply, received.SyncRequest)
+	case received.SyncReply != nil:
+		return m.handleSyncReply(reply, received.SyncReply)
+	}
+	return nil
+}
+
+// Members returns all known nodes, this one included, by name.
+func (m *Machine) Members() []Member {
+	members := []Member{m.self}
+	for _, e := range m.members {
+		members = append(members, e.Member)
+	}
+	sortByName(members)
+	return members
+}
+
+// SetRevision reports the configuration revision that this node applied.
+func (m *Machine) SetRevision(revision uint64) {
+	if revision > m.self.Revision {
+		m.self.Revision = revision
+		m.revSends = m.sendLimit()
+	}
+}
+
+// LastHeard returns when the last message from any peer arrived; zero if none did.
+func (m *Machine) LastHeard() time.Time {
+	return m.lastHeard
+}
+
+// Leave announces that this node stops. It must not use its units afterwards,
+// since peers no longer count it. The machine does nothing after this call.
+func (m *Machine) Leave(now time.Time) []Outgoing {
+	m.now = now
+	m.self.State = Left
+	out := []Outgoing{}
+	for _, e := range m.pick(leavePeers, "") {
+		out = append(out, m.ping(e.Address, e.Name, 0, true))
+	}
+	m.left = true
+	return out
+}
+
+// resume is called after this process did not run for a while. Its timers are
+// restarted, and it joins again, since members may have joined or counted it out.
+func (m *Machine) resume(gap time.Duration) {
+	clear(m.probes)
+	clear(m.relays)
+	for _, e := range m.members {
+		e.since = e.since.Add(gap)
+		e.acknowledged = false
+	}
+	m.join = joinState{started: m.now, established: m.join.established}
+	m.selfSends = m.sendLimit()
+}
+
+func (m *Machine) handlePing(from, reply string, ping *message.Ping) []Outgoing {
+	out := m.mergeGossip(from, ping.Gossip)
+	if ping.Sequence == 0 || ping.Target != "" && ping.Target != m.self.Name {
+		return out
+	}
+	e := m.members[from]
+	introduce := ping.Target == "" || e == nil || !e.acknowledged || mentions(ping.Gossip, m.self.Name)
+	ack := &message.Ack{Sequence: ping.Sequence, Target: m.self.Name, Gossip: m.gossip(from, introduce)}
+	return append(out, m.envelope(reply, Message{Ack: ack}))
+}
+
+func (m *Machine) handleAck(from, reply string, ack *message.Ack) []Outgoing {
+	out := m.mergeGossip(from, ack.Gossip)
+	if r, ok := m.relays[ack.Sequence]; ok && r.target == ack.Target {
+		delete(m.relays, ack.Sequence)
+		relayed := &message.Ack{Sequence: r.sequence, Target: r.target}
+		return append(out, m.envelope(r.address, Message{Ack: relayed}))
+	}
+	p, ok := m.probes[ack.Sequence]
+	if !ok || p.target != "" && p.target != ack.Target {
+		return out
+	}
+	delete(m.probes, ack.Sequence)
+	if e := m.members[from]; e != nil && from == ack.Target {
+		e.acknowledged = true
+	}
+	return append(out, m.syncFirst(reply)...)
+}
+
+func (m *Machine) handlePingRequest(from, reply string, request *message.PingRequest) []Outgoing {
+	out := m.mergeGossip(from, request.Gossip)
+	ping := m.ping(request.Address, request.Target, m.nextSequence(), false)
+	m.relays[m.sequence] = relay{
+		address: reply, sequence: request.Sequence, target: request.Target,
+		deadline: m.now.Add(indirectTimeout),
+	}
+	return append(out, ping)
+}
+
+func (m *Machine) nextSequence() uint64 {
+	m.sequence++
+	return m.sequence
+}
+
+func (m *Machine) envelope(to string, body Message) Outgoing {
+	body.From, body.Address = m.self.Name, m.self.Address
+	return Outgoing{To: to, Message: body}
+}
+
+// ping builds a ping; a sequence of 0 asks for no ack.
+func (m *Machine) ping(to, target string, sequence uint64, introduce bool) Outgoing {
+	body := &message.Ping{Sequence: sequence, Target: target, Gossip: m.gossip(target, introduce)}
+	return m.envelope(to, Message{Ping: body})
+}
+
+func mentions(gossip *message.Gossip, name string) bool {
+	if gossip == nil {
+		return false
+	}
+	for _, member := range gossip.Members {
+		if member.Name == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/membership/model_test.go
@@ -0,0 +1,111 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/fireflychute/fireflychute/pkg/share"
+)
+
+// Guards against limits that are exceeded while nodes disagree about the fleet:
+// under loss, partition, pause, restart, crash, leave and join, the units of all
+// nodes that use theirs never add up to more than the total. Also guards against
+// tables and facts that stay apart after the faults end.
+func TestLimitsHoldAndTablesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(2, 7).Draw(t, "size"), rapid.Uint64().Draw(t, "seed"))
+		f.run(15*time.Second, func() { limitsHold(t, f) })
+		for _, n := range f.nodes {
+			if !n.Joined() {
+				t.Fatalf("%s did not join a fleet without faults", n.self.Name)
+			}
+		}
+		version := uint64(0)
+		pick := func() string { return rapid.SampledFrom(sortedKeys(f.nodes)).Draw(t, "node") }
+		t.Repeat(map[string]func(*rapid.T){
+			"run": func(t *rapid.T) {
+				f.run(time.Duration(rapid.IntRange(1, 8000).Draw(t, "ms"))*time.Millisecond, func() { limitsHold(t, f) })
+			},
+			"loss":      func(t *rapid.T) { f.loss = rapid.Float64Range(0, 0.5).Draw(t, "loss") },
+			"partition": func(t *rapid.T) { f.split = true; f.half[pick()] = rapid.Bool().Draw(t, "half") },
+			"heal":      func(*rapid.T) { f.split = false },
+			"pause":     func(*rapid.T) { f.nodes[pick()].paused = true },
+			"resume":    func(*rapid.T) { f.nodes[pick()].paused = false },
+			"restart":   func(*rapid.T) { f.start(pick()) },
+			"listing":   func(t *rapid.T) { f.listing = rapid.Bool().Draw(t, "listing") },
+			"join":      func(t *rapid.T) { f.start(rapid.SampledFrom([]string{"new-1", "new-2"}).Draw(t, "new")) },
+			"crash": func(t *rapid.T) {
+				if len(f.nodes) > 2 {
+					delete(f.nodes, pick())
+				}
+			},
+			"leave": func(t *rapid.T) {
+				if name := pick(); len(f.nodes) > 2 && !f.nodes[name].paused {
+					f.send(name, f.nodes[name].Leave(f.now))
+					delete(f.nodes, name)
+				}
+			},
+			"publish": func(*rapid.T) {
+				version++
+				name := pick()
+				f.send(name, f.nodes[name].Publish(Fact{Key: "k", Version: version}))
+				f.nodes[name].SetRevision(version)
+			},
+		})
+		f.split, f.loss, f.listing = false, 0, true
+		for _, n := range f.nodes {
+			n.paused = false
+		}
+		f.run(90*time.Second, func() { limitsHold(t, f) })
+		if !allJoined(f) {
+			// A crashed member that was never seen in the list is held for 10 minutes.
+			f.run(failedHold+30*time.Second, nil)
+		}
+		converged(t, f)
+	})
+}
+
+func limitsHold(t *rapid.T, f *fleet) {
+	for _, total := range []int{1, 7, 40} {
+		sum := 0
+		for name, n := range f.nodes {
+			if n.Joined() {
+				sum += share.Units("target", name, n.Counted(f.now), total)
+			}
+		}
+		if sum > total {
+			t.Fatalf("%d units of %d in use at %v", sum, total, f.now.Sub(time.Unix(0, 0)))
+		}
+	}
+}
+
+func allJoined(f *fleet) bool {
+	for _, n := range f.nodes {
+		if !n.Joined() || len(n.Counted(f.now)) != len(f.nodes) {
+			return false
+		}
+	}
+	return true
+}
+
+func converged(t *rapid.T, f *fleet) {
+	g := NewWithT(t)
+	names := sortedKeys(f.nodes)
+	first := f.nodes[names[0]]
+	fact, _ := first.Fact("k")
+	for _, name := range names {
+		n := f.nodes[name]
+		g.Expect(n.Counted(f.now)).To(Equal(names), "%s: %+v", name, n.Members())
+		g.Expect(n.Joined()).To(BeTrue(), name)
+		other, _ := n.Fact("k")
+		g.Expect(other).To(Equal(fact))
+		for _, member := range n.Members() {
+			if other, ok := f.nodes[member.Name]; ok {
+				g.Expect(member).To(Equal(other.self))
+			}
+		}
+	}
+}
--- a/pkg/message/codec_gen.go
+++ b/pkg/message/codec_gen.go
@@ -801,8 +801,8 @@
 func (z *Gossip) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
 	_ = zb0001Mask
 	if z.Applied == nil {
 		zb0001Len--
@@ -810,11 +810,11 @@
 	}
 	if z.Facts == nil {
 		zb0001Len--
-		zb0001Mask |= 0x4
+		zb0001Mask |= 0x8
 	}
 	if z.Members == nil {
 		zb0001Len--
-		zb0001Mask |= 0x8
+		zb0001Mask |= 0x10
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -836,7 +836,10 @@
 		// string "counted"
 		o = append(o, 0xa7, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x65, 0x64)
 		o = msgp.AppendInt(o, z.Counted)
-		if (zb0001Mask & 0x4) == 0 { // if not omitted
+		// string "established"
+		o = append(o, 0xab, 0x65, 0x73, 0x74, 0x61, 0x62, 0x6c, 0x69, 0x73, 0x68, 0x65, 0x64)
+		o = msgp.AppendBool(o, z.Established)
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
 			// string "facts"
 			o = append(o, 0xa5, 0x66, 0x61, 0x63, 0x74, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Facts)))
@@ -848,7 +851,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
 			// string "members"
 			o = append(o, 0xa7, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
@@ -935,6 +938,12 @@
 				err = msgp.WrapError(err, "Counted")
 				return
 			}
+		case "established":
+			z.Established, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Established")
+				return
+			}
 		case "facts":
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -999,7 +1008,7 @@
 	for za0001 := range z.Applied {
 		s += 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Applied[za0001].Name) + msgp.Uint64Size
 	}
-	s += 8 + msgp.IntSize + 6 + msgp.ArrayHeaderSize
+	s += 8 + msgp.IntSize + 12 + msgp.BoolSize + 6 + msgp.ArrayHeaderSize
 	for za0002 := range z.Facts {
 		s += z.Facts[za0002].Msgsize()
 	}
@@ -1080,8 +1089,8 @@
 func (z *Message) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(10)
-	var zb0001Mask uint16 /* 10 bits */
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
 	_ = zb0001Mask
 	if z.Ack == nil {
 		zb0001Len--
@@ -1089,31 +1098,31 @@
 	}
 	if z.ConfigDelta == nil {
 		zb0001Len--
-		zb0001Mask |= 0x4
+		zb0001Mask |= 0x8
 	}
 	if z.ConfigFetch == nil {
 		zb0001Len--
-		zb0001Mask |= 0x8
+		zb0001Mask |= 0x10
 	}
 	if z.Ping == nil {
 		zb0001Len--
-		zb0001Mask |= 0x20
+		zb0001Mask |= 0x40
 	}
 	if z.PingRequest == nil {
 		zb0001Len--
-		zb0001Mask |= 0x40
+		zb0001Mask |= 0x80
 	}
 	if z.RolloutReport == nil {
 		zb0001Len--
-		zb0001Mask |= 0x80
+		zb0001Mask |= 0x100
 	}
 	if z.SyncReply == nil {
 		zb0001Len--
-		zb0001Mask |= 0x100
+		zb0001Mask |= 0x200
 	}
 	if z.SyncRequest == nil {
 		zb0001Len--
-		zb0001Mask |= 0x200
+		zb0001Mask |= 0x400
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -1136,7 +1145,10 @@
 		// string "address"
 		o = append(o, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 		o = msgp.AppendString(o, z.Address)
-		if (zb0001Mask & 0x4) == 0 { // if not omitted
+		// string "call"
+		o = append(o, 0xa4, 0x63, 0x61, 0x6c, 0x6c)
+		o = msgp.AppendUint64(o, z.Call)
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
 			// string "configDelta"
 			o = append(o, 0xab, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x44, 0x65, 0x6c, 0x74, 0x61)
 			if z.ConfigDelta == nil {
@@ -1149,7 +1161,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
 			// string "configFetch"
 			o = append(o, 0xab, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x46, 0x65, 0x74, 0x63, 0x68)
 			if z.ConfigFetch == nil {
@@ -1164,7 +1176,7 @@
 		// string "from"
 		o = append(o, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
 		o = msgp.AppendString(o, z.From)
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// string "ping"
 			o = append(o, 0xa4, 0x70, 0x69, 0x6e, 0x67)
 			if z.Ping == nil {
@@ -1177,7 +1189,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// string "pingRequest"
 			o = append(o, 0xab, 0x70, 0x69, 0x6e, 0x67, 0x52, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
 			if z.PingRequest == nil {
@@ -1190,7 +1202,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
 			// string "rolloutReport"
 			o = append(o, 0xad, 0x72, 0x6f, 0x6c, 0x6c, 0x6f, 0x75, 0x74, 0x52, 0x65, 0x70, 0x6f, 0x72, 0x74)
 			if z.RolloutReport == nil {
@@ -1203,7 +1215,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// string "syncReply"
 			o = append(o, 0xa9, 0x73, 0x79, 0x6e, 0x63, 0x52, 0x65, 0x70, 0x6c, 0x79)
 			if z.SyncReply == nil {
@@ -1216,7 +1228,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "syncRequest"
 			o = append(o, 0xab, 0x73, 0x79, 0x6e, 0x63, 0x52, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
 			if z.SyncRequest == nil {
@@ -1278,6 +1290,12 @@
 				err = msgp.WrapError(err, "Address")
 				return
 			}
+		case "call":
+			z.Call, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Call")
+				return
+			}
 		case "configDelta":
 			if msgp.IsNil(bts) {
 				bts, err = msgp.ReadNilBytes(bts)
@@ -1450,7 +1468,7 @@
 	} else {
 		s += z.Ack.Msgsize()
 	}
-	s += 8 + msgp.StringPrefixSize + len(z.Address) + 12
+	s += 8 + msgp.StringPrefixSize + len(z.Address) + 5 + msgp.Uint64Size + 12
 	if z.ConfigDelta == nil {
 		s += msgp.NilSize
 	} else {
@@ -1982,27 +2000,30 @@
 func (z *SyncReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(3)
-	var zb0001Mask uint8 /* 3 bits */
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
 	_ = zb0001Mask
 	if z.Facts == nil {
 		zb0001Len--
-		zb0001Mask |= 0x1
+		zb0001Mask |= 0x2
 	}
 	if z.Members == nil {
 		zb0001Len--
-		zb0001Mask |= 0x2
+		zb0001Mask |= 0x4
 	}
 	if z.Request == nil {
 		zb0001Len--
-		zb0001Mask |= 0x4
+		zb0001Mask |= 0x10
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
-		if (zb0001Mask & 0x1) == 0 { // if not omitted
+		// string "established"
+		o = append(o, 0xab, 0x65, 0x73, 0x74, 0x61, 0x62, 0x6c, 0x69, 0x73, 0x68, 0x65, 0x64)
+		o = msgp.AppendBool(o, z.Established)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
 			// string "facts"
 			o = append(o, 0xa5, 0x66, 0x61, 0x63, 0x74, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Facts)))
@@ -2014,7 +2035,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x2) == 0 { // if not omitted
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
 			// string "members"
 			o = append(o, 0xa7, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
@@ -2026,7 +2047,10 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x4) == 0 { // if not omitted
+		// string "more"
+		o = append(o, 0xa4, 0x6d, 0x6f, 0x72, 0x65)
+		o = msgp.AppendBool(o, z.More)
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
 			// string "request"
 			o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
 			if z.Request == nil {
@@ -2039,6 +2063,9 @@
 				}
 			}
 		}
+		// string "sequence"
+		o = append(o, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
+		o = msgp.AppendUint64(o, z.Sequence)
 	}
 	return
 }
@@ -2065,6 +2092,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "established":
+			z.Established, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Established")
+				return
+			}
 		case "facts":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -2111,6 +2144,12 @@
 					return
 				}
 			}
+		case "more":
+			z.More, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "More")
+				return
+			}
 		case "request":
 			if msgp.IsNil(bts) {
 				bts, err = msgp.ReadNilBytes(bts)
@@ -2128,6 +2167,12 @@
 					return
 				}
 			}
+		case "sequence":
+			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sequence")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2142,7 +2187,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *SyncReply) Msgsize() (s int) {
-	s = 1 + 6 + msgp.ArrayHeaderSize
+	s = 1 + 12 + msgp.BoolSize + 6 + msgp.ArrayHeaderSize
 	for za0001 := range z.Facts {
 		s += z.Facts[za0001].Msgsize()
 	}
@@ -2150,21 +2195,22 @@
 	for za0002 := range z.Members {
 		s += z.Members[za0002].Msgsize()
 	}
-	s += 8
+	s += 5 + msgp.BoolSize + 8
 	if z.Request == nil {
 		s += msgp.NilSize
 	} else {
 		s += z.Request.Msgsize()
 	}
+	s += 9 + msgp.Uint64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *SyncRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "facts"
-	o = append(o, 0x82, 0xa5, 0x66, 0x61, 0x63, 0x74, 0x73)
+	o = append(o, 0x83, 0xa5, 0x66, 0x61, 0x63, 0x74, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Facts)))
 	for za0001 := range z.Facts {
 		o = msgp.AppendUint64(o, z.Facts[za0001])
@@ -2175,6 +2221,9 @@
 	for za0002 := range z.Members {
 		o = msgp.AppendUint64(o, z.Members[za0002])
 	}
+	// string "sequence"
+	o = append(o, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
+	o = msgp.AppendUint64(o, z.Sequence)
 	return
 }
 
@@ -2246,6 +2295,12 @@
 					return
 				}
 			}
+		case "sequence":
+			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sequence")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2260,6 +2315,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *SyncRequest) Msgsize() (s int) {
-	s = 1 + 6 + msgp.ArrayHeaderSize + (len(z.Facts) * (msgp.Uint64Size)) + 8 + msgp.ArrayHeaderSize + (len(z.Members) * (msgp.Uint64Size))
+	s = 1 + 6 + msgp.ArrayHeaderSize + (len(z.Facts) * (msgp.Uint64Size)) + 8 + msgp.ArrayHeaderSize + (len(z.Members) * (msgp.Uint64Size)) + 9 + msgp.Uint64Size
 	return
 }
--- a/pkg/message/types_gen.go
+++ b/pkg/message/types_gen.go
@@ -100,6 +100,9 @@
 	// Counted fleet of the sender.
 	Counted int `msg:"counted"`
 
+	// The sender has joined the fleet since it started.
+	Established bool `msg:"established"`
+
 	// Changed facts.
 	Facts []Fact `msg:"facts,omitempty"`
 
@@ -136,6 +139,9 @@
 	// Peer address of the sender.
 	Address string `msg:"address"`
 
+	// Pairs a call with its answer on one connection; 0 when no answer is expected.
+	Call uint64 `msg:"call"`
+
 	// ConfigDelta corresponds to the JSON schema field "configDelta".
 	ConfigDelta *ConfigDelta `msg:"configDelta,omitempty"`
 
@@ -233,14 +239,23 @@
 
 // Entries of the buckets that differ, bounded in bytes.
 type SyncReply struct {
+	// The sender has joined the fleet since it started.
+	Established bool `msg:"established"`
+
 	// Facts of buckets that differ.
 	Facts []Fact `msg:"facts,omitempty"`
 
 	// Members of buckets that differ.
 	Members []Member `msg:"members,omitempty"`
 
+	// Entries that differ were left out to bound the bytes.
+	More bool `msg:"more"`
+
 	// Digests of the sender, set when entries are wanted in return.
 	Request *SyncRequest `msg:"request,omitempty"`
+
+	// Sequence of the request, repeated in the reply.
+	Sequence uint64 `msg:"sequence"`
 }
 
 // Compares digests of the whole tables.
@@ -250,4 +265,7 @@
 
 	// Digest of each bucket of members.
 	Members []uint64 `msg:"members"`
+
+	// Sequence of the request, repeated in the reply.
+	Sequence uint64 `msg:"sequence"`
 }
