--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MODULES := ./... ./testbed/...
 TOOL := go tool -modfile=$(CURDIR)/tools/go.mod
 
-.PHONY: build demo test race format lint generate generated
+.PHONY: build bench demo test race format lint generate generated
 
 build:
 	go build -o bin/ ./cmd/... ./testbed/cmd/...
@@ -11,6 +11,9 @@
 demo: build
 	bin/demo
 
+bench:
+	go run ./testbed/cmd/bench
+
 test:
 	go test $(MODULES)
 
--- /dev/null
+++ b/testbed/bench/measuring.go
@@ -0,0 +1,54 @@
+package bench
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/target"
+)
+
+// Cost is what measuring costs targets in operations per second.
+type Cost struct {
+	Nodes     int
+	Refusing  bool    // each node sees refused connections all the time
+	PerTarget float64 // most over the targets
+	Fleet     float64 // sum over the targets
+	Budget    float64 // per target
+}
+
+// MeasuringCost counts the probes of idle targets over a minute.
+func MeasuringCost(s Scenario, nodes int, refusing bool) Cost {
+	const seconds = 60
+	names, registries := []string{}, []*target.Registry{}
+	list := api.VMList{Version: 1}
+	for i := range s.Targets {
+		list.VMs = append(list.VMs, api.VM{Address: fmt.Sprintf("10.0.0.%d:80", i), Role: "target", Service: service, State: api.VMStateLive})
+	}
+	for i := range nodes {
+		names = append(names, fmt.Sprintf("node-%d", i))
+		registries = append(registries, target.NewRegistry(names[i]))
+		registries[i].ApplyList(epoch, list)
+	}
+	spent := map[string]int{}
+	services := map[string]api.ServiceSpec{service: s.Spec}
+	for step := range seconds * 10 {
+		now := epoch.Add(time.Duration(step) * collectInterval)
+		for _, r := range registries {
+			for _, entry := range r.Entries() {
+				if refusing {
+					entry.Counters.Refused.Add(1)
+				}
+			}
+			for _, probe := range r.Probes(now, names, services) {
+				spent[probe.Address] += probe.Operations
+			}
+		}
+	}
+	cost := Cost{Nodes: nodes, Refusing: refusing, Budget: s.Spec.MeasuringBudget}
+	for _, operations := range spent {
+		cost.PerTarget = max(cost.PerTarget, float64(operations)/seconds)
+		cost.Fleet += float64(operations) / seconds
+	}
+	return cost
+}
--- /dev/null
+++ b/testbed/bench/scenario.go
@@ -0,0 +1,89 @@
+package bench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+)
+
+const (
+	dataCentres = 3
+	insideDelay = 200 * time.Microsecond // one way within a data centre
+	serviceTime = 10 * time.Millisecond  // mean of a warm target without noise
+	timeout     = 500 * time.Millisecond
+	noisyCaller = "noisy"
+	drainTime   = 2 * time.Second // for responses after the last arrival
+)
+
+// Scenario is a user's fleet.
+type Scenario struct {
+	Name    string
+	Nodes   int
+	Targets int
+	// CrossDelay is the one-way latency between data centres.
+	CrossDelay time.Duration
+	Spec       api.ServiceSpec
+}
+
+// Scenarios returns the fleets that are compared.
+func Scenarios() []Scenario {
+	spec := api.ServiceSpec{Slots: 6, Queue: 6, MeasuringBudget: 2, ReferenceLatencyMs: 20}
+	return []Scenario{
+		{Name: "Vestfjord label text", Nodes: 19, Targets: 20, CrossDelay: 1500 * time.Microsecond, Spec: spec},
+		{Name: "Marsa plaque registry", Nodes: 13, Targets: 13, CrossDelay: time.Millisecond, Spec: spec},
+	}
+}
+
+// arrival is a request as the caller intended it.
+type arrival struct {
+	at     time.Duration
+	node   int
+	caller string
+	demand time.Duration // service time at a warm target without noise
+}
+
+// arrivals draws an open-loop stream. Two callers are steady; the noisy one sends
+// a quarter of the load in bursts of 200 ms every second.
+func arrivals(s Scenario, load float64, length time.Duration, seed uint64) []arrival {
+	random := rand.New(rand.NewPCG(seed, 1))
+	capacity := float64(s.Targets*s.Spec.Slots) / (serviceTime.Seconds() * meanNoise)
+	rate := load * capacity
+	peak := rate * 2
+	stream := []arrival{}
+	for at := 0.0; ; {
+		at += random.ExpFloat64() / peak
+		if at >= length.Seconds() {
+			return stream
+		}
+		a := arrival{at: time.Duration(at * 1e9), node: random.IntN(s.Nodes), demand: draw(random)}
+		pick := random.Float64() * 2
+		burst := at-float64(int(at)) < 0.2
+		switch {
+		case pick < 0.75:
+			a.caller = fmt.Sprintf("steady-%d", random.IntN(2))
+		case burst: // 5/4 of the mean rate for a fifth of the time
+			a.caller = noisyCaller
+		default:
+			continue
+		}
+		stream = append(stream, a)
+	}
+}
+
+func draw(random *rand.Rand) time.Duration {
+	return time.Duration(float64(serviceTime) * (0.5 + 0.5*random.ExpFloat64()))
+}
+
+// faults happen at the same times in each run.
+func (r *run) faults() {
+	restart := func(i int) func() { return func() { r.targets[i].restart() } }
+	r.clock.after(2*time.Second, restart(0))
+	r.clock.after(4*time.Second, func() { r.targets[1].failing = true })
+	r.clock.after(5*time.Second, func() { r.targets[1].failing = false })
+	r.clock.after(6*time.Second, func() { r.targets[2].slow = 6 })
+	r.clock.after(7*time.Second, func() { r.targets[2].slow = 1 })
+	r.clock.after(8*time.Second, restart(3))
+	r.clock.after(8*time.Second, restart(4))
+}
