Compare with a target's past only on 32 requests

The detection of targets that are cold again compared single windows of 100 ms. At Vestfjord's size a window holds one or two requests of a target, whose latency is often 3 x the average without any change. Targets were put back to one unit, which refused requests at half load. Windows are now joined to samples of 32 requests.

--- a/pkg/ramp/ramp.go
+++ b/pkg/ramp/ramp.go
@@ -16,9 +16,13 @@
 	// fallingRatio is the ratio to the past served rate below which it is falling.
 	fallingRatio = 0.7
 	// memory is the weight of the newest window in the past averages.
-	memory = 0.05
-	// minWindows is how many windows the past averages need before they are used.
-	minWindows = 20
+	memory = 0.1
+	// minSample is how many served requests a comparison with the past rests on.
+	// Single windows of a node hold one or two requests of a target, whose latency
+	// is often 3 times the average without any change at the target.
+	minSample = 32
+	// minComparisons is how many samples the past averages need before they are used.
+	minComparisons = 5
 )
 
 // Window is what one node saw of a target since the previous window. Requests
@@ -49,15 +53,24 @@
 
 // Ramp is the level of one incarnation of a target.
 type Ramp struct {
-	level   int
-	served  int
-	past    past
-	windows int
+	level  int
+	served int
+	past   past
+	recent sample
 }
 
+// past has the averages of earlier samples.
 type past struct {
-	latency float64
-	rate    float64
+	latency float64 // microseconds
+	rate    float64 // served requests per second
+	samples int
+}
+
+// sample joins windows until they hold enough requests.
+type sample struct {
+	served  int
+	spent   float64 // microseconds
+	seconds float64
 }
 
 // New returns the ramp of a cold target.
@@ -96,7 +109,6 @@
 		r.Reset()
 		return ColdAgain
 	}
-	r.remember(window)
 	if r.level >= limit {
 		return Stay
 	}
@@ -124,27 +136,28 @@
 	return Lower
 }
 
+// coldAgain adds the window to the present sample and, when that is large enough,
+// compares it with the past.
 func (r *Ramp) coldAgain(window Window) bool {
-	if r.windows < minWindows || window.LatencyMicros == 0 || window.Seconds <= 0 {
+	served := window.Well + window.Slow
+	r.recent.served += served
+	r.recent.spent += float64(served) * float64(window.LatencyMicros)
+	r.recent.seconds += window.Seconds
+	if r.recent.served < minSample || r.recent.seconds <= 0 {
 		return false
 	}
-	slow := float64(window.LatencyMicros) > coldLatencyRatio*r.past.latency
-	return slow && rate(window) < fallingRatio*r.past.rate
-}
-
-func (r *Ramp) remember(window Window) {
-	if window.LatencyMicros == 0 || window.Seconds <= 0 {
-		return
-	}
-	weight := memory
-	if r.windows == 0 {
-		weight = 1
+	latency, rate := r.recent.spent/float64(r.recent.served), float64(r.recent.served)/r.recent.seconds
+	r.recent = sample{}
+	if r.past.samples >= minComparisons && latency > coldLatencyRatio*r.past.latency && rate < fallingRatio*r.past.rate {
+		return true
 	}
-	r.windows++
-	r.past.latency += weight * (float64(window.LatencyMicros) - r.past.latency)
-	r.past.rate += weight * (rate(window) - r.past.rate)
+	r.past.remember(latency, rate)
+	return false
 }
 
-func rate(window Window) float64 {
-	return float64(window.Well+window.Slow) / window.Seconds
+func (p *past) remember(latency, rate float64) {
+	p.samples++
+	weight := max(memory, 1/float64(p.samples))
+	p.latency += weight * (latency - p.latency)
+	p.rate += weight * (rate - p.rate)
 }
--- a/pkg/ramp/ramp_test.go
+++ b/pkg/ramp/ramp_test.go
@@ -42,19 +42,27 @@
 }
 
 // Guards against missing that a target is cold again under the same incarnation,
-// and against taking low demand or slowness alone for it.
+// and against taking low demand, slowness or a few slow requests alone for it.
 func TestColdAgain(t *testing.T) {
 	g := NewWithT(t)
 	r := New()
 	r.Set(limit)
-	for range 2 * minWindows {
-		r.Observe(well(10), limit, true)
+	observe := func(windows int, window Window) {
+		for range windows {
+			r.Observe(window, limit, false)
+		}
 	}
-	g.Expect(r.Observe(well(2), limit, true)).To(Equal(Stay))
+	observe(50, well(10))
+	observe(50, well(2))
+	observe(50, well(10))
 	slow := Window{Slow: 10, LatencyMicros: 40_000, Seconds: 0.1}
-	g.Expect(r.Observe(slow, limit, true)).To(Equal(Stay))
+	observe(4, slow)
+	observe(50, well(10))
+	observe(1, Window{Slow: 2, LatencyMicros: 400_000, Seconds: 0.1})
+	observe(50, well(10))
+	g.Expect(r.Level()).To(Equal(limit))
 	slow.Slow = 2
-	g.Expect(r.Observe(slow, limit, true)).To(Equal(ColdAgain))
+	observe(40, slow)
 	g.Expect(r.Level()).To(Equal(1))
 }
 
