Give no work to targets that keep failing

Under load the units of a target that fails fast are always free, so it took the work that waited for the others. A target whose latency, in which failures count as slow, is above 16 x the fleet's harmonic mean gets no work until its average has returned. A failure now counts as 32 x the reference latency, so that this holds for slow and fast services alike; it was at least 4 x the target's own average.

--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -31,8 +31,10 @@
 // Evidence records why a target was chosen. It holds no references.
 type Evidence struct {
 	Fleet Fleet
-	// Free counts the candidates with free units.
+	// Free counts the candidates with free units that were not ejected.
 	Free int
+	// Ejected counts those that got no work because of their latency.
+	Ejected int
 	// Threshold is the load in requests above which a target is hot.
 	Threshold float64
 	// Samples has the first Count entries set.
@@ -90,6 +92,10 @@
 		if candidates[i].InFlight >= candidates[i].Units {
 			continue
 		}
+		if ejected(&candidates[i], evidence.Fleet) {
+			evidence.Ejected++
+			continue
+		}
 		evidence.Free++
 		if evidence.Count < Samples {
 			evidence.Samples[evidence.Count].Index = i
--- a/pkg/balance/choose_test.go
+++ b/pkg/balance/choose_test.go
@@ -47,6 +47,17 @@
 	g.Expect(picks(candidates)[4]).To(BeNumerically("<", 20))
 }
 
+// Guards against a target that fails fast taking all work while the others are full.
+func TestChooseNeverTakesFailingTargetUnderLoad(t *testing.T) {
+	g := NewWithT(t)
+	candidates := fleetOf(3)
+	candidates[1].LatencyMicros = 600_000
+	g.Expect(picks(candidates)).NotTo(HaveKey(1))
+	candidates[0].InFlight, candidates[2].InFlight = 2, 2
+	g.Expect(picks(candidates)).To(BeEmpty())
+	g.Expect(picks(candidates[1:2])).NotTo(BeEmpty())
+}
+
 // Guards against all nodes herding to the target with the lowest report.
 func TestChooseSpreadsOverEqualViews(t *testing.T) {
 	g := NewWithT(t)
--- a/pkg/balance/estimate.go
+++ b/pkg/balance/estimate.go
@@ -10,6 +10,10 @@
 	// is not considered slow. It covers queueing noise and the distance to
 	// another data centre.
 	slowTolerance = 2.0
+	// ejectRatio is the ratio to the fleet's mean latency above which a target gets
+	// no work. It is out of reach of queueing; a target gets there by failing. As its
+	// units are always free, it would otherwise take all that waits under high load.
+	ejectRatio = 16.0
 	// maxSlowness bounds the effect of one bad latency sample.
 	maxSlowness = 16.0
 )
@@ -65,3 +69,9 @@
 	ratio := float64(c.LatencyMicros) / (slowTolerance * fleet.MeanLatencyMicros)
 	return min(max(ratio, 1), maxSlowness)
 }
+
+// ejected tells whether a target is so far from the fleet that it gets no work.
+// The mean is harmonic, so at least one target is never ejected.
+func ejected(c *Candidate, fleet Fleet) bool {
+	return float64(c.LatencyMicros) > ejectRatio*fleet.MeanLatencyMicros && fleet.MeanLatencyMicros > 0
+}
--- a/pkg/target/counters.go
+++ b/pkg/target/counters.go
@@ -11,15 +11,11 @@
 	// latencyWeight is the divisor of a sample's weight in the average latency: a
 	// sudden slowdown shows after a few responses.
 	latencyWeight = 8
-	// failurePenalty is the factor by which a failure counts as slower than the
-	// average. Without it a target that fails fast looks fast and idle and attracts
-	// traffic.
-	failurePenalty = 4
+	// failureRatio is the ratio to the reference latency that a failure counts as.
+	// Without it a target that fails fast looks fast and idle and attracts traffic.
+	failureRatio = 32
 	// minFailureLatency is the lowest latency in microseconds that a failure counts as.
 	minFailureLatency = 100_000
-	// maxFailureLatency bounds in microseconds what a fast failure counts as, so that
-	// a target recovers in about 40 good responses from any series of failures.
-	maxFailureLatency = 2_000_000
 )
 
 // Counters is the state of one target that traffic goroutines update. One value
@@ -59,7 +55,7 @@
 	switch {
 	case failed:
 		c.Failed.Add(1)
-		micros = max(micros, minFailureLatency, min(failurePenalty*c.LatencyMicros.Load(), maxFailureLatency))
+		micros = max(micros, minFailureLatency, failureRatio*referenceMicros)
 	case ramp.IsSlow(micros, referenceMicros):
 		c.Slow.Add(1)
 	default:
