--- a/testbed/bench/scenario.go
+++ b/testbed/bench/scenario.go
@@ -25,6 +25,9 @@
 	// CrossDelay is the one-way latency between data centres.
 	CrossDelay time.Duration
 	Spec       api.ServiceSpec
+	// Calm leaves out the bursts and the faults, so that only the noise of the
+	// targets and chance remain.
+	Calm bool
 }
 
 // Scenarios returns the fleets that are compared.
@@ -61,9 +64,9 @@
 		pick := random.Float64() * 2
 		burst := at-float64(int(at)) < 0.2
 		switch {
-		case pick < 0.75:
+		case pick < 0.75 || s.Calm && pick < 1:
 			a.caller = fmt.Sprintf("steady-%d", random.IntN(2))
-		case burst: // 5/4 of the mean rate for a fifth of the time
+		case burst && !s.Calm: // 5/4 of the mean rate for a fifth of the time
 			a.caller = noisyCaller
 		default:
 			continue
@@ -78,6 +81,9 @@
 
 // faults happen at the same times in each run.
 func (r *run) faults() {
+	if r.scenario.Calm {
+		return
+	}
 	restart := func(i int) func() { return func() { r.targets[i].restart() } }
 	r.clock.after(2*time.Second, restart(0))
 	r.clock.after(4*time.Second, func() { r.targets[1].failing = true })
--- a/testbed/cmd/bench/main.go
+++ b/testbed/cmd/bench/main.go
@@ -18,6 +18,7 @@
 type options struct {
 	Seed    uint64        `long:"seed" default:"1" description:"seed of arrivals and decisions"`
 	Length  time.Duration `long:"length" default:"10s" description:"simulated time of arrivals"`
+	Calm    bool          `long:"calm" description:"without bursts and faults"`
 	Percent []int         `long:"percent" default:"50" default:"70" default:"85" default:"95" description:"load in percent of capacity"`
 }
 
@@ -27,6 +28,7 @@
 		os.Exit(2)
 	}
 	for _, scenario := range bench.Scenarios() {
+		scenario.Calm = o.Calm
 		compare(scenario, o)
 	}
 	measuring(bench.Scenarios()[0])
