Add the peer transport

Nodes need to exchange gossip and configuration without a slow peer holding up the control goroutine. Each peer has one connection, a queue of 64 frames and one goroutine that dials and writes; a full queue drops and counts. Frames are limited to 1 MiB and read in step with the bytes that arrive, so an announced length allocates nothing. Certificates are read again at handshakes, at most every 10 s. A frame whose write failed is not sent again, since the peer may have received it.

--- /dev/null
+++ b/pkg/peer/client.go
@@ -0,0 +1,118 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"sync"
+	"time"
+)
+
+const (
+	// queueLength bounds the frames that wait for one peer. A node sends about 10
+	// messages a second over all peers, so a longer queue holds only outdated ones.
+	queueLength = 64
+	// linkIdle removes the state of a peer to which nothing was sent.
+	linkIdle    = time.Minute
+	dialTimeout = 2 * time.Second
+)
+
+// Client sends messages to peers by address.
+type Client struct {
+	self    string
+	tls     *tls.Config
+	ctx     context.Context
+	cancel  context.CancelFunc
+	mu      sync.Mutex
+	links   map[string]*link
+	closed  bool
+	calls   uint64
+	dropped uint64
+	done    sync.WaitGroup
+}
+
+// NewClient returns a client that states the given name as sender. Without a TLS
+// configuration it sends in plain text.
+func NewClient(self string, config *tls.Config) *Client {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Client{self: self, tls: config, ctx: ctx, cancel: cancel, links: map[string]*link{}}
+}
+
+// Send queues a message and returns at once. The message is dropped and counted
+// when the peer's queue is full, and lost when the connection cannot be made.
+func (c *Client) Send(to string, body Message) {
+	_ = c.enqueue(to, body, nil)
+}
+
+// Call sends a message and waits for the answer until the context ends. It fails
+// with an Error that wraps ErrQueueFull, ErrFrameTooLarge, ErrClosed,
+// ErrDisconnected or the cause of a failed dial.
+func (c *Client) Call(ctx context.Context, to string, body Message) (Message, error) {
+	answer := make(chan result, 1)
+	if err := c.enqueue(to, body, answer); err != nil {
+		return Message{}, failed("send", to, err)
+	}
+	select {
+	case <-ctx.Done():
+		return Message{}, failed("call", to, ctx.Err())
+	case r := <-answer:
+		return r.message, failed("call", to, r.err)
+	}
+}
+
+// Dropped returns how many messages were dropped because a queue was full.
+func (c *Client) Dropped() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dropped
+}
+
+// Close ends all connections and waits for their goroutines.
+func (c *Client) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.cancel()
+	c.mu.Unlock()
+	c.done.Wait()
+}
+
+func (c *Client) enqueue(to string, body Message, answer chan result) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return ErrClosed
+	}
+	body.From, body.Call = c.self, 0
+	if answer != nil {
+		c.calls++
+		body.Call = c.calls
+	}
+	frame, err := encode(&body)
+	if err != nil {
+		return err
+	}
+	l := c.links[to]
+	if l == nil {
+		l = &link{client: c, to: to, queue: make(chan queued, queueLength)}
+		c.links[to] = l
+		c.done.Add(1)
+		go l.run()
+	}
+	select {
+	case l.queue <- queued{frame, body.Call, answer}:
+		return nil
+	default:
+		c.dropped++
+		return ErrQueueFull
+	}
+}
+
+// retire removes a link if nothing was queued meanwhile.
+func (c *Client) retire(l *link) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(l.queue) > 0 {
+		return false
+	}
+	delete(c.links, l.to)
+	return true
+}
--- /dev/null
+++ b/pkg/peer/server.go
@@ -0,0 +1,167 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// handshakeTimeout bounds how long an unauthenticated connection is kept.
+	handshakeTimeout = 5 * time.Second
+	// idleTimeout ends a connection without frames. Members ping each other more
+	// often than this in fleets of up to 150 nodes; larger ones reconnect.
+	idleTimeout = 2 * time.Minute
+	// frameTimeout is the time for the rest of a frame once its first byte arrived.
+	frameTimeout = 10 * time.Second
+	writeTimeout = 10 * time.Second
+	// maxConnections bounds goroutines and buffers; it is above the largest fleet.
+	maxConnections = 1024
+)
+
+// Server receives messages.
+type Server struct {
+	listener    net.Listener
+	tls         *tls.Config
+	handle      func(from string, message Message) *Message
+	mu          sync.Mutex
+	connections map[net.Conn]bool
+	closed      bool
+	done        sync.WaitGroup
+}
+
+// Listen starts a server. The handler is called on the connection's goroutine with
+// the name that the sender states; its result, if not nil, answers a call. With a
+// TLS configuration whose ClientAuth is tls.RequireAndVerifyClientCert, a peer
+// without an accepted certificate is refused before any frame is read.
+func Listen(address string, config *tls.Config, handle func(from string, message Message) *Message) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, failed("listen", address, err)
+	}
+	s := &Server{listener: listener, tls: config, handle: handle, connections: map[net.Conn]bool{}}
+	s.done.Add(1)
+	go s.accept()
+	return s, nil
+}
+
+// Address returns the address on which the server listens.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// Close stops the server, ends its connections and waits for its handlers.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	err := s.listener.Close()
+	for connection := range s.connections {
+		_ = connection.Close()
+	}
+	s.mu.Unlock()
+	s.done.Wait()
+	return failed("close", s.Address(), err)
+}
+
+func (s *Server) accept() {
+	defer s.done.Done()
+	for {
+		connection, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// For example too many open files; other connections may end meanwhile.
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		if !s.add(connection) {
+			_ = connection.Close()
+			continue
+		}
+		go s.serve(connection)
+	}
+}
+
+func (s *Server) add(connection net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.connections) >= maxConnections {
+		return false
+	}
+	s.connections[connection] = true
+	s.done.Add(1)
+	return true
+}
+
+func (s *Server) serve(raw net.Conn) {
+	defer s.done.Done()
+	defer func() {
+		s.mu.Lock()
+		delete(s.connections, raw)
+		s.mu.Unlock()
+		_ = raw.Close()
+	}()
+	connection := raw
+	if s.tls != nil {
+		secured := tls.Server(raw, s.tls)
+		ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+		err := secured.HandshakeContext(ctx)
+		cancel()
+		if err != nil {
+			return
+		}
+		connection = secured
+	}
+	reader := bufio.NewReader(connection)
+	for s.exchange(connection, reader) == nil {
+	}
+}
+
+// exchange reads one frame, handles it and writes the answer.
+func (s *Server) exchange(connection net.Conn, reader *bufio.Reader) error {
+	received, err := readNext(connection, reader)
+	if err != nil {
+		return err
+	}
+	answer := s.handle(received.From, received)
+	if received.Call == 0 {
+		return nil
+	}
+	if answer == nil {
+		answer = &Message{}
+	}
+	answer.Call = received.Call
+	frame, err := encode(answer)
+	if err != nil {
+		return err
+	}
+	return write(connection, frame)
+}
+
+// readNext waits for a frame up to idleTimeout.
+func readNext(connection net.Conn, reader *bufio.Reader) (Message, error) {
+	if err := connection.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+		return Message{}, err
+	}
+	if _, err := reader.Peek(1); err != nil {
+		return Message{}, err
+	}
+	if err := connection.SetReadDeadline(time.Now().Add(frameTimeout)); err != nil {
+		return Message{}, err
+	}
+	return readFrame(reader)
+}
+
+func write(connection net.Conn, frame []byte) error {
+	if err := connection.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	_, err := connection.Write(frame)
+	return err
+}
--- /dev/null
+++ b/pkg/peer/tls_test.go
@@ -0,0 +1,93 @@
+package peer
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against peers that show no certificate or one of another authority, and
+// against a node that must be restarted to use renewed certificates.
+func TestMutualTLSRefusesOthersAndReloads(t *testing.T) {
+	g := NewWithT(t)
+	files, other := newFiles(t), newFiles(t)
+	later := atomic.Int64{}
+	now := func() time.Time { return time.Unix(0, later.Load()) }
+	serverTLS, clientTLS, err := mutualTLS(files, now)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, otherTLS, err := MutualTLS(other)
+	g.Expect(err).NotTo(HaveOccurred())
+	server, err := Listen("127.0.0.1:0", serverTLS, answerWithRevision)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = server.Close() }()
+
+	g.Expect(callOnce(server, clientTLS)).To(Succeed())
+	g.Expect(callOnce(server, nil)).NotTo(Succeed(), "plain text")
+	g.Expect(callOnce(server, &tls.Config{InsecureSkipVerify: true})).NotTo(Succeed(), "no certificate")
+	g.Expect(callOnce(server, otherTLS)).NotTo(Succeed(), "other authority")
+	withoutCheck := &tls.Config{InsecureSkipVerify: true, GetClientCertificate: otherTLS.GetClientCertificate}
+	g.Expect(callOnce(server, withoutCheck)).NotTo(Succeed(), "other authority, server not checked")
+
+	copyFiles(t, other, files)
+	g.Expect(callOnce(server, otherTLS)).NotTo(Succeed(), "not yet reloaded")
+	later.Store(int64(reloadInterval))
+	g.Expect(callOnce(server, otherTLS)).To(Succeed(), "reloaded server")
+	g.Expect(callOnce(server, clientTLS)).To(Succeed(), "reloaded client")
+	g.Expect(os.Remove(files.Key)).To(Succeed())
+	later.Store(int64(2 * reloadInterval))
+	g.Expect(callOnce(server, clientTLS)).To(Succeed(), "unreadable files keep the previous ones")
+}
+
+func callOnce(server *Server, config *tls.Config) error {
+	client := NewClient("a", config)
+	defer client.Close()
+	_, err := client.Call(context.Background(), server.Address(), fetch(1))
+	return err
+}
+
+// newFiles writes a certificate that is its own authority.
+func newFiles(t *testing.T) Files {
+	g := NewWithT(t)
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	g.Expect(err).NotTo(HaveOccurred())
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	certificate, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	g.Expect(err).NotTo(HaveOccurred())
+	encodedKey, err := x509.MarshalPKCS8PrivateKey(key)
+	g.Expect(err).NotTo(HaveOccurred())
+	directory := t.TempDir()
+	files := Files{filepath.Join(directory, "cert"), filepath.Join(directory, "key"), filepath.Join(directory, "authority")}
+	writePEM(t, files.Certificate, "CERTIFICATE", certificate)
+	writePEM(t, files.Authority, "CERTIFICATE", certificate)
+	writePEM(t, files.Key, "PRIVATE KEY", encodedKey)
+	return files
+}
+
+func writePEM(t *testing.T, path, kind string, content []byte) {
+	encoded := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: content})
+	NewWithT(t).Expect(os.WriteFile(path, encoded, 0o600)).To(Succeed())
+}
+
+func copyFiles(t *testing.T, from, to Files) {
+	g := NewWithT(t)
+	for source, target := range map[string]string{from.Certificate: to.Certificate, from.Key: to.Key, from.Authority: to.Authority} {
+		content, err := os.ReadFile(source)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(os.WriteFile(target, content, 0o600)).To(Succeed())
+	}
+}
