Hold a target back after a broken connection

After a restart every node refilled its units at once, before any response could show the new incarnation. A node other than the owner now sends nothing to a target for 300 ms after a broken connection, at most once in 2 s per target, so that requests that make targets break connections cannot take out a service. Lowering the ramp level instead was ruled out for that reason.

--- a/pkg/target/collect.go
+++ b/pkg/target/collect.go
@@ -21,7 +21,9 @@
 		spec := services[s.service]
 		s.limit = spec.Slots + spec.Queue
 		s.takeReport()
-		s.step(s.window(now, spec), r.rankOf(s, nodes) == 0)
+		owner := r.rankOf(s, nodes) == 0
+		s.counters.owner.Store(owner)
+		s.step(s.window(now, spec), owner)
 		facts = append(facts, s.takeFacts()...)
 	}
 	return facts
--- a/pkg/target/counters.go
+++ b/pkg/target/counters.go
@@ -16,6 +16,13 @@
 	failureRatio = 32
 	// minFailureLatency is the lowest latency in microseconds that a failure counts as.
 	minFailureLatency = 100_000
+	// holdTime is how long a node sends no new work to a target that broke a
+	// connection, unless it is the target's owner. The target may have restarted
+	// cold; within this time the owner has seen the new incarnation and told it.
+	holdTime = 300 * time.Millisecond
+	// holdInterval is the shortest time between the starts of holds, so that
+	// requests that make targets break connections cannot take out the service.
+	holdInterval = 2 * time.Second
 )
 
 // Counters is the state of one target that traffic goroutines update. One value
@@ -40,6 +47,10 @@
 	LatencyMicros atomic.Int64
 	// LastReport is the newest load report that a response carried.
 	LastReport atomic.Pointer[Report]
+	// heldNanos is the local monotonic time of the last hold's start.
+	heldNanos atomic.Int64
+	// owner tells that this node decides the target's ramp level.
+	owner atomic.Bool
 	// incarnation is the incarnation that the registry considers current.
 	incarnation atomic.Pointer[string]
 	// draining is the incarnation of the report that set Leaving.
@@ -68,6 +79,23 @@
 	c.average(micros)
 }
 
+// Broken records at the local monotonic time nowNanos that the target closed or
+// reset a connection with a request in flight.
+func (c *Counters) Broken(nowNanos int64) {
+	held := c.heldNanos.Load()
+	if c.owner.Load() || held != 0 && nowNanos-held < holdInterval.Nanoseconds() {
+		return
+	}
+	c.heldNanos.CompareAndSwap(held, max(nowNanos, 1))
+}
+
+// Held tells whether the target gets no new work from this node at present,
+// because it may have restarted.
+func (c *Counters) Held(nowNanos int64) bool {
+	held := c.heldNanos.Load()
+	return held != 0 && nowNanos-held < holdTime.Nanoseconds()
+}
+
 // Reported stores a report that a response carried. Draining takes the target out
 // at once, unless the report is of another incarnation than the current one, which
 // the registry decides on.
--- a/pkg/target/registry_test.go
+++ b/pkg/target/registry_test.go
@@ -89,3 +89,23 @@
 	}
 	g.Expect(counters.LatencyMicros.Load()).To(BeNumerically("<", 20_000))
 }
+
+// Guards against all nodes sending to a target that has just restarted, and against
+// broken connections that take a target out for long.
+func TestBrokenConnectionHolds(t *testing.T) {
+	g := NewWithT(t)
+	counters, second := &Counters{}, time.Second.Nanoseconds()
+	g.Expect(counters.Held(second)).To(BeFalse())
+	counters.Broken(second)
+	g.Expect(counters.Held(second + 1)).To(BeTrue())
+	g.Expect(counters.Held(2 * second)).To(BeFalse())
+	counters.Broken(2 * second)
+	g.Expect(counters.Held(2 * second)).To(BeFalse())
+	counters.Broken(4 * second)
+	g.Expect(counters.Held(4 * second)).To(BeTrue())
+	r := NewRegistry("node-0")
+	r.ApplyList(start, listOf(1, api.VMStateLive))
+	r.Collect(start, fleetOf(1), specs(1))
+	r.Entries()[0].Counters.Broken(second)
+	g.Expect(r.Entries()[0].Counters.Held(second)).To(BeFalse())
+}
--- a/testbed/bench/design.go
+++ b/testbed/bench/design.go
@@ -180,6 +180,9 @@
 			Units: n.units[i], InFlight: int(e.Counters.InFlight.Load()), ReportAge: -1,
 			LatencyMicros: e.Counters.LatencyMicros.Load(), Local: n.design.run.local(n.at, n.design.index[e.Address]),
 		}
+		if e.Counters.Held(now) {
+			c.Units = 0
+		}
 		if report := e.Counters.LastReport.Load(); report != nil {
 			c.Reported = report.InFlight
 			c.SentSince = int(e.Counters.Sent.Load() - report.SentBefore)
@@ -195,7 +198,12 @@
 	entry.Counters.InFlight.Add(-1)
 	if v != refused {
 		reference := int64(d.run.scenario.Spec.ReferenceLatencyMs) * 1000
-		entry.Counters.Done(d.run.clock.now-q.sentAt, v == failed, reference)
+		entry.Counters.Done(d.run.clock.now-q.sentAt, v != served, reference)
+	}
+	if v == broken {
+		entry.Counters.Broken(int64(d.run.clock.now))
+		n.pump()
+		return
 	}
 	report := d.run.targets[q.target].report()
 	report.ArrivedNanos = int64(d.run.clock.now)
--- a/testbed/bench/run.go
+++ b/testbed/bench/run.go
@@ -117,9 +117,9 @@
 		if q.caller != noisyCaller {
 			r.result.RefusedSteady++
 		}
-	case v == failed || latency > timeout:
+	case v == failed || v == broken || latency > timeout:
 		r.result.Failed++
-		if v != failed {
+		if v == served {
 			r.result.Late++
 		}
 	default:
--- a/testbed/bench/target.go
+++ b/testbed/bench/target.go
@@ -27,6 +27,7 @@
 	served verdict = iota
 	failed
 	refused
+	broken // connection lost with the request in flight
 )
 
 // work is one request at a target.
@@ -135,7 +136,7 @@
 // restart begins a cold incarnation and breaks the connections of the previous one.
 func (f *fake) restart() {
 	for _, w := range slices.Concat(f.running, f.waiting) {
-		w.reply(failed)
+		w.reply(broken)
 	}
 	f.life++
 	f.running, f.waiting, f.served, f.gained = nil, nil, 0, 0
