Judge the slowness of a cold target on 8 requests, count the reports' totals

Ramps stalled. It is now halved on at least 8 requests at the level. The owner also had to see level x 8 requests itself, of which it gets 1 in level; the served counts of the reports now stand for the other nodes' part, if the owner's own units were served well 8 times each.

P2 was again seen to fail with a level raised on half of the evidence, and the new test with own evidence or totals ignored.

--- a/pkg/ramp/ramp.go
+++ b/pkg/ramp/ramp.go
@@ -30,6 +30,11 @@
 type Window struct {
 	// Well counts requests that were served and were not slow.
 	Well int
+	// Total counts the requests that the target served to all nodes according to its
+	// reports; 0 when it is unknown.
+	Total int
+	// Units is this node's part of the level.
+	Units int
 	// Slow counts requests that were served slowly.
 	Slow int
 	// Failed counts failed requests.
@@ -54,7 +59,9 @@
 // Ramp is the level of one incarnation of a target.
 type Ramp struct {
 	level  int
-	served int
+	served int // well, by this node, at this level
+	slow   int // by this node, at this level
+	total  int // by all nodes at this level
 	past   past
 	recent sample
 }
@@ -91,10 +98,10 @@
 
 // Set adopts a level that another node decided.
 func (r *Ramp) Set(level int) {
+	level = max(level, firstLevel)
 	if level != r.level {
-		r.served = 0
+		r.begin(level)
 	}
-	r.level = max(level, firstLevel)
 }
 
 // Reset returns to the level of a cold target and forgets the past.
@@ -115,24 +122,42 @@
 	if window.Failed > 0 {
 		return r.lower(firstLevel)
 	}
-	if window.Slow > window.Well {
+	r.served += window.Well
+	r.slow += window.Slow
+	if r.slow > r.served && r.slow+r.served >= servedPerUnit {
 		return r.lower(r.level / 2)
 	}
-	r.served += window.Well
-	if !owner || r.served < servedPerUnit*r.level {
+	r.total += window.Total
+	if !owner || !r.proved(window.Units) {
 		return Stay
 	}
-	r.level = min(r.level*2, limit)
-	r.served = 0
+	r.begin(min(r.level*2, limit))
 	return Raise
 }
 
+// proved tells whether the level was served well. The reports tell how much all
+// nodes together were served, but not how well; so this node's own units must have
+// been served well too. Up to half of the level was sent before the level began.
+func (r *Ramp) proved(units int) bool {
+	needed := servedPerUnit * r.level
+	if r.served >= needed {
+		return true
+	}
+	return r.served >= servedPerUnit*max(units, 1) && r.total >= needed+r.level/2
+}
+
+// begin starts a level without evidence.
+func (r *Ramp) begin(level int) {
+	r.level = level
+	r.served, r.slow, r.total = 0, 0, 0
+}
+
 func (r *Ramp) lower(level int) Move {
-	r.served = 0
-	if r.level == firstLevel {
+	before := r.level
+	r.begin(max(level, firstLevel))
+	if r.level == before {
 		return Stay
 	}
-	r.level = max(level, firstLevel)
 	return Lower
 }
 
--- a/pkg/target/collect.go
+++ b/pkg/target/collect.go
@@ -5,6 +5,7 @@
 
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/ramp"
+	"github.com/fireflychute/fireflychute/pkg/share"
 )
 
 // forgetLatency is the divisor of the part by which, at each collection, the
@@ -23,7 +24,9 @@
 		s.takeReport()
 		owner := r.rankOf(s, nodes) == 0
 		s.counters.owner.Store(owner)
-		s.step(s.window(now, spec), owner)
+		window := s.window(now, spec)
+		window.Units = share.Units(address, r.self, nodes, s.units())
+		s.step(window, owner)
 		facts = append(facts, s.takeFacts()...)
 	}
 	return facts
@@ -56,6 +59,7 @@
 	if served > 0 {
 		window.LatencyMicros = spent / served
 	}
+	window.Total = s.servedInAll()
 	if window.Well+window.Slow+window.Failed == 0 && c.InFlight.Load() == 0 {
 		s.forgetLatency(spec)
 	}
@@ -63,6 +67,23 @@
 	return window
 }
 
+// servedInAll returns what the target reports to have served since the last call.
+func (s *state) servedInAll() int {
+	report := s.seen.report
+	if report == nil || report.Incarnation != s.incarnation {
+		return 0
+	}
+	before, known := s.seen.served, s.seen.servedBy == s.incarnation
+	if known && report.Served <= before {
+		return 0 // reports can overtake each other
+	}
+	s.seen.served, s.seen.servedBy = report.Served, s.incarnation
+	if !known {
+		return 0
+	}
+	return int(min(report.Served-before, maxReportedCount))
+}
+
 // skipCarried takes requests that were sent before the level began out of the
 // evidence for raising it.
 func (s *state) skipCarried(window *ramp.Window) {
--- a/pkg/target/properties_test.go
+++ b/pkg/target/properties_test.go
@@ -118,6 +118,7 @@
 						latency = time.Second
 					}
 					counters.Done(latency, false, 20_000)
+					counters.Reported(&Report{Incarnation: "i1", Served: uint64(target.served)})
 				}
 				pending = append(pending, r.Collect(now, nodes, specs(1))...)
 				highest = max(highest, r.Entries()[0].Units)
--- a/pkg/target/state.go
+++ b/pkg/target/state.go
@@ -51,6 +51,8 @@
 	at                    time.Time
 	well, slow, failed    uint64
 	report                *Report
+	served                uint64 // as reported
+	servedBy              string // incarnation that reported it
 	refused, sentAtProbes uint64
 }
 
