Validate declarations as a whole set

Decoding stopped at the first error and named neither file nor line, and nothing checked references, ranges or conflicts between objects.

DecodeFile reports unknown kinds, unknown fields, missing fields and wrong types with file, line, object and field. Validate checks the whole set and returns all problems. Specs are brought into one canonical form with defaults filled in, so that a reordered declaration does not change a digest.

Lines come from the TOML library's syntax tree; its decoder alone gives a position only for the first error. Decoding straight into the generated types was ruled out for the same reason.

--- a/pkg/declare/decode.go
+++ b/pkg/declare/decode.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"path/filepath"
 	"sort"
+	"strings"
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pkg/errors"
@@ -21,67 +23,142 @@
 	"rollout":    api.KindRollout,
 }
 
-// Decode reads a declaration in TOML: a table per kind that holds a table per
-// object, for example [service.label-text]. Objects are returned in order of
-// kind and name. The error names the table and the field.
+// File is a decoded declaration file.
+type File struct {
+	Name    string
+	Objects []api.Object
+	lines   positions
+}
+
+// Locate adds the file and the line to a problem that concerns an object of this
+// file. It reports whether the object is in the file.
+func (f *File) Locate(problem *Problem) bool {
+	for _, object := range f.Objects {
+		if object.Kind == problem.Kind && object.Name == problem.Name {
+			problem.File = f.Name
+			problem.Line = f.lines.find(sectionOf(problem.Kind), problem.Name, problem.Field)
+			return true
+		}
+	}
+	return false
+}
+
+// Decode reads a declaration in TOML; see DecodeFile.
 func Decode(text []byte) ([]api.Object, error) {
-	var tables map[string]map[string]map[string]any
+	file, err := DecodeFile("", text)
+	return file.Objects, err
+}
+
+// DecodeFile reads a declaration in TOML, or in JSON when the name ends in
+// ".json": a table per kind that holds a table per object, for example
+// [service.label-text]. Objects are returned in order of kind and name, with
+// canonical specs. The error is of type Problems and holds all problems found.
+func DecodeFile(name string, text []byte) (File, error) {
+	file := File{Name: name}
+	sections, problem := decodeTables(name, text, &file)
+	if problem != nil {
+		problem.File = name
+		return file, Problems{*problem}
+	}
+	problems := Problems{}
+	for section, named := range sections {
+		problems = append(problems, file.addSection(section, named)...)
+	}
+	sort.Slice(file.Objects, func(i, j int) bool { return file.Objects[i].Key() < file.Objects[j].Key() })
+	return file, problems.asError()
+}
+
+func decodeTables(name string, text []byte, file *File) (map[string]any, *Problem) {
+	tables := map[string]any{}
+	if filepath.Ext(name) == ".json" {
+		// Numbers stay as written, so that large integers keep their value.
+		decoder := json.NewDecoder(bytes.NewReader(text))
+		decoder.UseNumber()
+		err := decoder.Decode(&tables)
+		if err != nil {
+			return nil, &Problem{Line: jsonLine(text, err), Reason: err.Error()}
+		}
+		return tables, nil
+	}
 	err := toml.Unmarshal(text, &tables)
+	var decodeError *toml.DecodeError
+	if errors.As(err, &decodeError) {
+		line, _ := decodeError.Position()
+		return nil, &Problem{Line: line, Reason: decodeError.Error()}
+	}
 	if err != nil {
-		return nil, errors.Wrap(err, "decode declaration")
+		return nil, &Problem{Reason: err.Error()}
 	}
-	objects := []api.Object{}
-	for section, named := range tables {
-		kind, ok := sections[section]
-		if !ok {
-			return nil, errors.Errorf("unknown kind %q", section)
-		}
-		for name, fields := range named {
-			object, err := newObject(kind, name, fields)
-			if err != nil {
-				return nil, err
-			}
-			objects = append(objects, object)
-		}
+	file.lines = findPositions(text)
+	return tables, nil
+}
+
+// jsonLine returns the line of a JSON syntax error, or 0 when it is not known.
+func jsonLine(text []byte, err error) int {
+	var syntax *json.SyntaxError
+	if !errors.As(err, &syntax) {
+		return 0
+	}
+	return 1 + strings.Count(string(text[:min(int(syntax.Offset), len(text))]), "\n")
+}
+
+func (f *File) addSection(section string, value any) Problems {
+	kind, ok := sections[section]
+	if !ok {
+		return Problems{{
+			File: f.Name, Line: f.lines.find(section), Kind: section,
+			Reason: "unknown kind of table; known are " + strings.Join(sectionNames(), ", "),
+		}}
 	}
-	sort.Slice(objects, func(i, j int) bool { return objects[i].Key() < objects[j].Key() })
-	return objects, nil
+	named, ok := value.(map[string]any)
+	if !ok {
+		return Problems{{File: f.Name, Line: f.lines.find(section), Kind: kind, Reason: "must hold a table per object, for example [" + section + ".name]"}}
+	}
+	problems := Problems{}
+	for name, fields := range named {
+		problems = append(problems, f.addObject(section, kind, name, fields)...)
+	}
+	return problems
 }
 
-func newObject(kind, name string, fields map[string]any) (api.Object, error) {
+func (f *File) addObject(section, kind, name string, fields any) Problems {
+	object := api.Object{Kind: kind, Name: name}
+	if _, ok := fields.(map[string]any); !ok {
+		return Problems{{File: f.Name, Line: f.lines.find(section, name), Kind: kind, Name: name, Reason: "must be a table"}}
+	}
 	raw, err := json.Marshal(fields)
 	if err != nil {
-		return api.Object{}, errors.Wrapf(err, "%s/%s", kind, name)
+		return Problems{{File: f.Name, Line: f.lines.find(section, name), Kind: kind, Name: name, Reason: err.Error()}}
 	}
-	object := api.Object{Kind: kind, Name: name, Spec: raw}
-	_, err = DecodeSpec(object)
-	return object, err
+	object.Spec = raw
+	canonical, err := Canonical(object)
+	var problems Problems
+	if errors.As(err, &problems) {
+		for i := range problems {
+			problems[i].File = f.Name
+			problems[i].Line = f.lines.find(section, name, problems[i].Field)
+		}
+		return problems
+	}
+	object.Spec = canonical
+	f.Objects = append(f.Objects, object)
+	return nil
 }
 
-// DecodeSpec returns the typed spec of an object. Unknown fields are errors.
-func DecodeSpec(object api.Object) (any, error) {
-	switch object.Kind {
-	case api.KindService:
-		return strict[api.ServiceSpec](object)
-	case api.KindDataCentre:
-		return strict[api.DataCentreSpec](object)
-	case api.KindRoute:
-		return strict[api.RouteSpec](object)
-	case api.KindWorkKind:
-		return strict[api.WorkKindSpec](object)
-	case api.KindCaller:
-		return strict[api.CallerSpec](object)
-	case api.KindRollout:
-		return strict[api.RolloutSpec](object)
-	default:
-		return nil, errors.Errorf("unknown kind %q", object.Kind)
+func sectionNames() []string {
+	names := []string{}
+	for name := range sections {
+		names = append(names, name)
 	}
+	sort.Strings(names)
+	return names
 }
 
-func strict[T any](object api.Object) (T, error) {
-	var spec T
-	decoder := json.NewDecoder(bytes.NewReader(object.Spec))
-	decoder.DisallowUnknownFields()
-	err := decoder.Decode(&spec)
-	return spec, errors.Wrap(err, object.Key())
+func sectionOf(kind string) string {
+	for section, k := range sections {
+		if k == kind {
+			return section
+		}
+	}
+	return ""
 }
--- /dev/null
+++ b/pkg/declare/validate.go
@@ -0,0 +1,292 @@
+package declare
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+)
+
+const (
+	// maxTimeoutMs is one hour. A longer call would outlive every drain time.
+	maxTimeoutMs = 3_600_000
+	// maxSlots bounds slots, queues and connections, so that sums over a fleet's
+	// targets stay far from overflow.
+	maxSlots = 1_000_000
+	// maxWeight bounds weights and priorities.
+	maxWeight = 1_000_000
+	// maxMeasuringBudget is in operations per second.
+	maxMeasuringBudget = 10_000
+)
+
+var (
+	namePattern   = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]{0,61}[A-Za-z0-9])?$`)
+	methodPattern = regexp.MustCompile(`^[A-Z]+$`)
+)
+
+// Context is what a set is validated against.
+type Context struct {
+	// Now is the time at which the set is proposed.
+	Now time.Time
+	// Current holds the objects in force. A rollout is new when it is not among
+	// them with the same completion time and state.
+	Current []api.Object
+}
+
+// Validate checks a whole set: each object alone, references, duplicates, and
+// what the set leaves without a place to run. The error is of type Problems and
+// holds all problems found.
+func Validate(objects []api.Object, context Context) error {
+	v := &validator{context: context, specs: map[string]any{}, current: map[string]any{}}
+	v.decode(objects)
+	for _, object := range v.objects {
+		v.checkObject(object, v.specs[object.Key()])
+	}
+	v.checkRoutes()
+	v.checkCallers()
+	v.checkRollouts()
+	v.checkDataCentres()
+	return v.problems.asError()
+}
+
+type validator struct {
+	context  Context
+	objects  []api.Object // without those that did not decode
+	specs    map[string]any
+	current  map[string]any
+	failed   map[string]bool // objects that exist but did not decode
+	problems Problems
+}
+
+func (v *validator) decode(objects []api.Object) {
+	for _, object := range v.context.Current {
+		spec, err := DecodeSpec(object)
+		if err == nil {
+			v.current[object.Key()] = spec
+		}
+	}
+	v.failed = map[string]bool{}
+	for _, object := range objects {
+		if !namePattern.MatchString(object.Name) {
+			v.report(object, "", "name must have 1 to 63 letters, digits, '.', '_' or '-' and start and end with a letter or digit")
+		}
+		if _, twice := v.specs[object.Key()]; twice || v.failed[object.Key()] {
+			v.report(object, "", "is declared more than once")
+			continue
+		}
+		spec, problems := decodeFields(object, true)
+		v.problems = append(v.problems, problems...)
+		if len(problems) > 0 {
+			v.failed[object.Key()] = true
+			continue
+		}
+		v.specs[object.Key()] = spec
+		v.objects = append(v.objects, object)
+	}
+}
+
+func (v *validator) report(object api.Object, field, reason string) {
+	v.problems = append(v.problems, about(object, field, reason))
+}
+
+func (v *validator) checkObject(object api.Object, spec any) {
+	switch spec := spec.(type) {
+	case api.ServiceSpec:
+		v.checkService(object, spec)
+	case api.DataCentreSpec:
+		v.oneOf(object, "state", string(spec.State), "In", "Out")
+		v.oneOf(object, "capacityPolicy", string(spec.CapacityPolicy), "Refuse", "Warn")
+	case api.RouteSpec:
+		v.checkRoute(object, spec)
+	case api.WorkKindSpec:
+		v.between(object, "timeoutMs", spec.TimeoutMs, 1, maxTimeoutMs)
+		v.between(object, "priority", spec.Priority, 0, maxWeight)
+		v.between(object, "weight", spec.Weight, 1, maxWeight)
+		v.between(object, "maxBodyBytes", spec.MaxBodyBytes, 0, math.MaxInt)
+	case api.CallerSpec:
+		v.between(object, "weight", spec.Weight, 1, maxWeight)
+	case api.RolloutSpec:
+		v.checkRollout(object, spec)
+	}
+}
+
+func (v *validator) checkService(object api.Object, spec api.ServiceSpec) {
+	v.between(object, "slots", spec.Slots, 1, maxSlots)
+	v.between(object, "queue", spec.Queue, 0, maxSlots)
+	v.between(object, "maxConnections", spec.MaxConnections, 1, maxSlots)
+	v.between(object, "referenceLatencyMs", spec.ReferenceLatencyMs, 1, maxTimeoutMs)
+	if !(spec.MeasuringBudget > 0 && spec.MeasuringBudget <= maxMeasuringBudget) {
+		v.report(object, "measuringBudget", "must be greater than 0 and at most 10000 operations per second")
+	}
+}
+
+func (v *validator) checkRoute(object api.Object, spec api.RouteSpec) {
+	if !strings.HasPrefix(spec.PathPrefix, "/") || strings.ContainsAny(spec.PathPrefix, "?# ") {
+		v.report(object, "pathPrefix", "must start with a slash and hold no space, '?' or '#'")
+	}
+	seen := map[string]bool{}
+	for _, method := range spec.Methods {
+		if !methodPattern.MatchString(method) {
+			v.report(object, "methods", "method "+quote(method)+" must be in capital letters")
+		}
+		if seen[method] {
+			v.report(object, "methods", "method "+quote(method)+" is listed twice")
+		}
+		seen[method] = true
+	}
+	v.refer(object, "service", api.KindService, spec.Service)
+	v.refer(object, "workKind", api.KindWorkKind, spec.WorkKind)
+}
+
+func (v *validator) checkRollout(object api.Object, spec api.RolloutSpec) {
+	v.refer(object, "service", api.KindService, spec.Service)
+	v.oneOf(object, "state", string(spec.State), "Active", "RolledBack")
+	v.between(object, "maxUnjudgedSharePercent", spec.MaxUnjudgedSharePercent, 1, 100)
+	if spec.From == "" {
+		v.report(object, "from", "must not be empty")
+	}
+	if spec.To == "" {
+		v.report(object, "to", "must not be empty")
+	}
+	if spec.From == spec.To && spec.To != "" {
+		v.report(object, "to", "must differ from the version that traffic leaves")
+	}
+	if v.isNew(object.Key(), spec) && !spec.CompleteBy.After(v.context.Now) {
+		v.report(object, "completeBy", "must lie in the future for a new rollout, is "+spec.CompleteBy.Format(time.RFC3339))
+	}
+}
+
+// isNew tells whether an active rollout starts with this set. One that has
+// passed its completion time while it was in force stays valid.
+func (v *validator) isNew(key string, spec api.RolloutSpec) bool {
+	if spec.State != api.RolloutStateActive {
+		return false
+	}
+	old, ok := v.current[key].(api.RolloutSpec)
+	return !ok || old.State != spec.State || old.To != spec.To || !old.CompleteBy.Equal(spec.CompleteBy)
+}
+
+func (v *validator) checkRoutes() {
+	for i, object := range v.objects {
+		spec, ok := v.specs[object.Key()].(api.RouteSpec)
+		if !ok {
+			continue
+		}
+		for _, other := range v.objects[:i] {
+			otherSpec, ok := v.specs[other.Key()].(api.RouteSpec)
+			if ok && otherSpec.PathPrefix == spec.PathPrefix && methodsOverlap(otherSpec.Methods, spec.Methods) {
+				v.report(object, "pathPrefix", "takes the same calls as Route/"+other.Name)
+			}
+		}
+	}
+}
+
+func methodsOverlap(a, b []string) bool {
+	if len(a) == 0 || len(b) == 0 {
+		return true
+	}
+	for _, method := range a {
+		for _, other := range b {
+			if method == other {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (v *validator) checkCallers() {
+	owners := map[netip.Prefix]string{}
+	for _, object := range v.objects {
+		spec, ok := v.specs[object.Key()].(api.CallerSpec)
+		if !ok {
+			continue
+		}
+		if len(spec.CIDRs) == 0 {
+			v.report(object, "cidrs", "must list at least one network")
+		}
+		for _, text := range spec.CIDRs {
+			v.checkNetwork(object, text, owners)
+		}
+	}
+}
+
+func (v *validator) checkNetwork(object api.Object, text string, owners map[netip.Prefix]string) {
+	prefix, err := netip.ParsePrefix(text)
+	if err != nil || prefix != prefix.Masked() {
+		v.report(object, "cidrs", quote(text)+" must be a network address with prefix length, for example 10.1.0.0/16")
+		return
+	}
+	if owner, taken := owners[prefix]; taken {
+		v.report(object, "cidrs", text+" already belongs to Caller/"+owner)
+		return
+	}
+	owners[prefix] = object.Name
+}
+
+func (v *validator) checkRollouts() {
+	active := map[string]string{}
+	for _, object := range v.objects {
+		spec, ok := v.specs[object.Key()].(api.RolloutSpec)
+		if !ok || spec.State != api.RolloutStateActive {
+			continue
+		}
+		if other, taken := active[spec.Service]; taken {
+			v.report(object, "service", "already has the active Rollout/"+other)
+			continue
+		}
+		active[spec.Service] = object.Name
+	}
+}
+
+// checkDataCentres reports every service when no data centre takes work. Targets
+// are not part of a declaration, so every data centre counts for every service.
+func (v *validator) checkDataCentres() {
+	for _, object := range v.objects {
+		spec, ok := v.specs[object.Key()].(api.DataCentreSpec)
+		if ok && spec.State == api.DataCentreStateIn {
+			return
+		}
+	}
+	for _, object := range v.objects {
+		if object.Kind == api.KindService {
+			v.report(object, "", "has no data centre that is In")
+		}
+	}
+}
+
+func (v *validator) refer(object api.Object, field, kind, name string) {
+	key := kind + "/" + name
+	if _, ok := v.specs[key]; ok || v.failed[key] {
+		return
+	}
+	v.report(object, field, key+" does not exist")
+}
+
+func (v *validator) between(object api.Object, field string, value, low, high int) {
+	if value >= low && value <= high {
+		return
+	}
+	reason := fmt.Sprintf("must be at least %d, is %d", low, value)
+	if value > high {
+		reason = fmt.Sprintf("must be at most %d, is %d", high, value)
+	}
+	v.report(object, field, reason)
+}
+
+func (v *validator) oneOf(object api.Object, field, value string, allowed ...string) {
+	for _, a := range allowed {
+		if value == a {
+			return
+		}
+	}
+	v.report(object, field, "must be "+strings.Join(allowed, " or ")+", is "+quote(value))
+}
+
+func quote(text string) string {
+	return `"` + text + `"`
+}
