Serve the resource API with one commit point per change

Apply wrote without validation, answered every failure in plain text, and reported a commit whose answer was lost as failed.

A change is planned on the newest manifest, validated with the resulting whole set and the capacity of the remaining targets, and committed by one conditional update. After a conflict it is planned again only when no object that it writes was changed in between.

--- a/cmd/fireflychute/main.go
+++ b/cmd/fireflychute/main.go
@@ -60,7 +60,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	group.Add(func() error { return controller.Run(ctx) }, func(error) { cancel() })
 	addServer(&group, config.Callers.Listen, proxy.NewHandler(&published, http.DefaultTransport))
-	addServer(&group, config.Operators.Listen, operator.NewServer(store, &published))
+	addServer(&group, config.Operators.Listen, operator.NewServer(operator.Options{Store: store, Backend: snapshotBackend{&published}}))
 	log.Info().Msg("node started")
 	return group.Run()
 }
--- /dev/null
+++ b/pkg/operator/answer.go
@@ -0,0 +1,70 @@
+package operator
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fireflychute/fireflychute/pkg/platform"
+)
+
+// retryAfterSeconds is the advice when the platform gives none.
+const retryAfterSeconds = 2
+
+func answer(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// answerError sends an error as JSON. An untyped error is an internal one.
+func answerError(w http.ResponseWriter, err error) {
+	var typed *Error
+	if !errors.As(err, &typed) {
+		typed = internalError(err)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if typed.RetryAfterSeconds > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(typed.RetryAfterSeconds))
+	}
+	w.WriteHeader(typed.status)
+	_ = json.NewEncoder(w).Encode(typed)
+}
+
+func notFound(message string) *Error {
+	return &Error{status: http.StatusNotFound, Code: CodeNotFound, Message: message}
+}
+
+func badRequest(message string) *Error {
+	return &Error{status: http.StatusBadRequest, Code: CodeBadRequest, Message: message}
+}
+
+func internalError(err error) *Error {
+	return &Error{status: http.StatusInternalServerError, Code: CodeInternal, Message: err.Error()}
+}
+
+// platformError makes an answer from a failed call of the platform. Repeating
+// the request with the same operation id is safe in every case. uncertain tells
+// that the change may have been committed.
+func platformError(change change, err error, uncertain bool) error {
+	var typed *Error
+	if errors.As(err, &typed) {
+		return typed
+	}
+	answer := &Error{
+		status: http.StatusServiceUnavailable, Code: CodePlatformUnavailable, Operation: change.operation,
+		Message:           "the change was not accepted: " + err.Error(),
+		RetryAfterSeconds: retryAfterSeconds,
+	}
+	if uncertain {
+		answer.Code = CodeUnknownOutcome
+		answer.Message = "the change may have been accepted; repeat it with the same operation id: " + err.Error()
+	}
+	var call *platform.CallError
+	if errors.As(err, &call) && call.RetryAfter > 0 {
+		answer.RetryAfterSeconds = int((call.RetryAfter + time.Second - 1) / time.Second)
+	}
+	return answer
+}
--- /dev/null
+++ b/pkg/operator/commit_test.go
@@ -0,0 +1,177 @@
+package operator_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/operator"
+	"github.com/fireflychute/fireflychute/pkg/operator/operatortest"
+)
+
+// twoObjects changes two objects, so that half of it would be seen.
+func twoObjects(operation string) operator.ApplyRequest {
+	return operator.ApplyRequest{Operation: operation, Objects: []api.Object{service("text", 7), route("orders", "text")}, Delete: []string{"DataCentre/south"}}
+}
+
+// Guards against a change that is applied by half, twice, or reported wrongly
+// when any one call of the platform fails in any way, and against a repeated
+// request that is not recognised.
+func TestFailureAtEveryCall(t *testing.T) {
+	steps := 0
+	probe := newFixture(t)
+	probe.store.OnCall = func(string) operatortest.Fault { steps++; return operatortest.None }
+	probe.mustApply(twoObjects("two"))
+	NewWithT(t).Expect(steps).To(BeNumerically(">", 5))
+	for _, fault := range []operatortest.Fault{operatortest.Down, operatortest.Limited, operatortest.LostRequest, operatortest.LostAnswer} {
+		for lasting := range 2 {
+			for at := range steps {
+				t.Run(fmt.Sprintf("fault %d lasting %d at call %d", fault, lasting, at), func(t *testing.T) {
+					checkFailure(newFixture(t), fault, at, lasting == 1)
+				})
+			}
+		}
+	}
+}
+
+func checkFailure(f *fixture, fault operatortest.Fault, at int, lasting bool) {
+	before, _ := f.stored()
+	calls := 0
+	f.store.OnCall = func(string) operatortest.Fault {
+		calls++
+		if calls-1 == at || lasting && calls > at {
+			return fault
+		}
+		return operatortest.None
+	}
+	result, status, failure := f.apply(twoObjects("two"))
+	f.store.OnCall = nil
+	after, revision := f.stored()
+	accepted := len(after) == len(before) && after["Service/text"] != before["Service/text"] && after["Route/orders"] != "" && after["DataCentre/south"] == ""
+	if !accepted {
+		f.Expect(after).To(Equal(before), "half applied")
+		f.Expect(status).To(Equal(http.StatusServiceUnavailable))
+		f.Expect(failure.Operation).To(Equal("two"))
+	}
+	if status == http.StatusOK {
+		f.Expect(accepted).To(BeTrue(), "reported success for a change that is not in the store")
+		f.Expect(result.Revision).To(Equal(revision))
+	}
+	if accepted && status != http.StatusOK {
+		f.Expect(failure.Code).To(Equal(operator.CodeUnknownOutcome))
+	}
+	again := f.mustApply(twoObjects("two"))
+	_, latest := f.stored()
+	f.Expect(again.Revision).To(Equal(latest))
+	f.Expect(again.Changes).To(HaveLen(3))
+	if accepted {
+		f.Expect(latest).To(Equal(revision), "a repeated request was committed again")
+	}
+}
+
+// Guards against a lost answer that hides a success within the same request.
+func TestLostAnswerOfCommitIsRecognised(t *testing.T) {
+	f := newFixture(t)
+	lost := 0
+	f.store.OnCall = func(step string) operatortest.Fault {
+		if step == "update manifest" {
+			lost++
+			return operatortest.LostAnswer
+		}
+		return operatortest.None
+	}
+	result := f.mustApply(twoObjects("two"))
+	f.store.OnCall = nil
+	_, revision := f.stored()
+	f.Expect(lost).To(Equal(1))
+	f.Expect(result.Revision).To(Equal(revision))
+}
+
+// Guards against a repeated request that undoes a later change or answers
+// differently, and against an operation id used for two requests.
+func TestRepeatedOperation(t *testing.T) {
+	f := newFixture(t)
+	first := f.mustApply(twoObjects("two"))
+	f.mustApply(operator.ApplyRequest{Operation: "later", Objects: []api.Object{service("text", 8)}})
+	f.Expect(f.mustApply(twoObjects("two"))).To(Equal(first))
+	specs, _ := f.stored()
+	f.Expect(specs["Service/text"]).To(ContainSubstring(`"slots":8`))
+	_, status, failure := f.apply(operator.ApplyRequest{Operation: "two", Objects: []api.Object{service("text", 9)}})
+	f.Expect(status).To(Equal(http.StatusConflict))
+	f.Expect(failure.Code).To(Equal(operator.CodeOperationReused))
+}
+
+// during runs a function once, right before the next update of the manifest.
+func during(f *fixture, interfere func()) {
+	f.store.OnCall = func(step string) operatortest.Fault {
+		if step == "update manifest" {
+			f.store.OnCall = nil
+			interfere()
+		}
+		return operatortest.None
+	}
+}
+
+// Guards against two operators that both believe to have won, and against a
+// conflict that does not tell the current revision.
+func TestRaceOnOneObject(t *testing.T) {
+	f := newFixture(t)
+	var winner operator.ApplyResult
+	during(f, func() { winner = f.mustApply(operator.ApplyRequest{Objects: []api.Object{service("text", 8)}}) })
+	_, status, failure := f.apply(operator.ApplyRequest{Objects: []api.Object{service("text", 9)}})
+	f.Expect(status).To(Equal(http.StatusConflict))
+	f.Expect(failure.Code).To(Equal(operator.CodeConflict))
+	f.Expect(failure.Revision).To(Equal(winner.Revision))
+	specs, _ := f.stored()
+	f.Expect(specs["Service/text"]).To(ContainSubstring(`"slots":8`))
+}
+
+// Guards against changes of different objects that refuse or overwrite each
+// other, and against a retry that skips the validation of the new whole set.
+func TestRaceOnDifferentObjects(t *testing.T) {
+	f := newFixture(t)
+	during(f, func() { f.mustApply(operator.ApplyRequest{Objects: []api.Object{service("other", 8)}}) })
+	f.mustApply(operator.ApplyRequest{Objects: []api.Object{service("text", 9)}})
+	specs, revision := f.stored()
+	f.Expect(specs).To(HaveKey("Service/other"))
+	f.Expect(specs["Service/text"]).To(ContainSubstring(`"slots":9`))
+
+	during(f, func() { f.mustApply(operator.ApplyRequest{Delete: []string{"Service/other"}}) })
+	_, status, failure := f.apply(operator.ApplyRequest{Objects: []api.Object{route("others", "other")}})
+	f.Expect(status).To(Equal(http.StatusUnprocessableEntity))
+	f.Expect(failure.Problems).To(HaveLen(1))
+
+	during(f, func() { f.mustApply(operator.ApplyRequest{Objects: []api.Object{service("new", 8)}}) })
+	_, status, _ = f.apply(operator.ApplyRequest{IfRevision: &revision, Objects: []api.Object{service("text", 10)}})
+	f.Expect(status).To(Equal(http.StatusConflict), "a demanded revision is not retried on a newer one")
+}
+
+// Guards against more or fewer than one winner among many operators.
+func TestOneWinnerPerRace(t *testing.T) {
+	const operators, rounds = 8, 20
+	f := newFixture(t)
+	_, revision := f.stored()
+	for round := range rounds {
+		var winners, next atomic.Uint64
+		var group sync.WaitGroup
+		for i := range operators {
+			group.Go(func() {
+				result, status, failure := f.apply(operator.ApplyRequest{IfRevision: &revision, Objects: []api.Object{service("text", 10+round*operators+i)}})
+				if status == http.StatusOK {
+					winners.Add(1)
+					next.Store(result.Revision)
+				} else if failure.Code != operator.CodeConflict {
+					t.Errorf("loser received %d %s", status, failure.Error())
+				}
+			})
+		}
+		group.Wait()
+		f.Expect(winners.Load()).To(BeEquivalentTo(1))
+		revision = next.Load()
+	}
+}
--- /dev/null
+++ b/pkg/operator/operatortest/backend.go
@@ -0,0 +1,114 @@
+package operatortest
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/configuration"
+	"github.com/fireflychute/fireflychute/pkg/operator"
+	"github.com/fireflychute/fireflychute/pkg/platform"
+)
+
+// Backend implements operator.Backend. Its configuration is what the store held
+// at the last Sync. The fields are to be set before its use.
+type Backend struct {
+	Store       platform.Store
+	Statuses    map[string]json.RawMessage // by kind/name
+	FleetStatus *api.FleetStatus
+	Members     []api.NodeStatus
+	Ready       operator.Readiness
+	Requests    map[string]operator.Explanation
+	Loads       []operator.TargetLoad
+	Capacity    func(current, proposed *configuration.Set) []operator.CapacityProblem
+
+	mu      sync.Mutex
+	current operator.Configuration
+	changed chan struct{}
+}
+
+var _ operator.Backend = (*Backend)(nil)
+
+// Sync takes over the configuration that the store holds and wakes watches.
+func (b *Backend) Sync(ctx context.Context) error {
+	object, err := b.Store.Get(ctx, platform.KindManifest, platform.ManifestName)
+	if err != nil {
+		return err
+	}
+	next := operator.Configuration{Revision: object.Version, Blobs: map[string][]byte{}}
+	err = json.Unmarshal(object.Value, &next.Manifest)
+	if err != nil {
+		return err
+	}
+	for _, entry := range next.Manifest.Entries {
+		blob, err := b.Store.Get(ctx, platform.KindBlob, entry.Digest)
+		if err != nil {
+			return err
+		}
+		next.Blobs[entry.Digest] = blob.Value
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next.StatusVersion = b.current.StatusVersion + 1
+	b.current = next
+	if b.changed != nil {
+		close(b.changed)
+	}
+	b.changed = make(chan struct{})
+	return nil
+}
+
+// Configuration implements operator.Backend.
+func (b *Backend) Configuration() operator.Configuration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.current
+}
+
+// Changed implements operator.Backend.
+func (b *Backend) Changed() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.changed == nil {
+		b.changed = make(chan struct{})
+	}
+	return b.changed
+}
+
+// Status implements operator.Backend.
+func (b *Backend) Status(kind, name string) (json.RawMessage, bool) {
+	status, ok := b.Statuses[kind+"/"+name]
+	return status, ok
+}
+
+// Fleet implements operator.Backend.
+func (b *Backend) Fleet() (api.FleetStatus, bool) {
+	if b.FleetStatus == nil {
+		return api.FleetStatus{}, false
+	}
+	return *b.FleetStatus, true
+}
+
+// Nodes implements operator.Backend.
+func (b *Backend) Nodes() []api.NodeStatus { return b.Members }
+
+// Readiness implements operator.Backend.
+func (b *Backend) Readiness() operator.Readiness { return b.Ready }
+
+// Explain implements operator.Backend.
+func (b *Backend) Explain(id string) (operator.Explanation, bool) {
+	found, ok := b.Requests[id]
+	return found, ok
+}
+
+// Targets implements operator.Backend.
+func (b *Backend) Targets() []operator.TargetLoad { return b.Loads }
+
+// CapacityProblems implements operator.Backend.
+func (b *Backend) CapacityProblems(current, proposed *configuration.Set) []operator.CapacityProblem {
+	if b.Capacity == nil {
+		return nil
+	}
+	return b.Capacity(current, proposed)
+}
--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -1,29 +1,54 @@
 package operator
 
 import (
-	"encoding/json"
 	"net/http"
-	"sync/atomic"
-
-	"github.com/pkg/errors"
+	"net/http/pprof"
+	"time"
 
 	"github.com/fireflychute/fireflychute/pkg/platform"
-	"github.com/fireflychute/fireflychute/pkg/snapshot"
 )
 
+const (
+	// DefaultMaxBodyBytes bounds a request body. A declaration of 80 services
+	// takes about 240 KB.
+	DefaultMaxBodyBytes = 4 << 20
+	// maxWatchTime is the longest wait of one call of /v1/watch.
+	maxWatchTime = 30 * time.Second
+)
+
+// Options is what a server works with.
+type Options struct {
+	// Store is the platform. Writes go to it directly.
+	Store platform.Store
+	// Backend is the node's control state.
+	Backend Backend
+	// Metrics serves /metrics; nil answers 404 there.
+	Metrics http.Handler
+	// MaxBodyBytes bounds a request body; 0 takes DefaultMaxBodyBytes.
+	MaxBodyBytes int64
+	// Now is the clock by which new rollouts are checked; nil takes time.Now.
+	Now func() time.Time
+}
+
 // Server answers operators.
 type Server struct {
-	store    platform.Store
-	snapshot *atomic.Pointer[snapshot.Snapshot]
-	mux      *http.ServeMux
+	options   Options
+	committer committer
+	mux       *http.ServeMux
 }
 
-// NewServer returns a handler that writes to store and reads the published snapshot.
-func NewServer(store platform.Store, published *atomic.Pointer[snapshot.Snapshot]) *Server {
-	s := &Server{store: store, snapshot: published, mux: http.NewServeMux()}
-	s.mux.HandleFunc("POST /v1/apply", s.apply)
-	s.mux.HandleFunc("GET /readyz", s.ready)
-	s.mux.HandleFunc("GET /livez", func(http.ResponseWriter, *http.Request) {})
+// NewServer returns the handler of the operators' listener.
+func NewServer(options Options) *Server {
+	if options.MaxBodyBytes == 0 {
+		options.MaxBodyBytes = DefaultMaxBodyBytes
+	}
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	s := &Server{options: options, mux: http.NewServeMux()}
+	s.committer = committer{store: options.Store, backend: options.Backend, now: options.Now}
+	s.addResources()
+	s.addProfiling()
 	return s
 }
 
@@ -32,28 +57,30 @@
 	s.mux.ServeHTTP(w, r)
 }
 
-func (s *Server) apply(w http.ResponseWriter, r *http.Request) {
-	var request ApplyRequest
-	err := json.NewDecoder(r.Body).Decode(&request)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	result, err := Apply(r.Context(), s.store, request)
-	switch {
-	case errors.Is(err, platform.ErrConflict):
-		http.Error(w, err.Error(), http.StatusConflict)
-	case err != nil:
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-	default:
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(result)
+func (s *Server) addResources() {
+	s.mux.HandleFunc("POST /v1/apply", s.apply)
+	s.mux.HandleFunc("DELETE /v1/{kind}/{name}", s.remove)
+	s.mux.HandleFunc("GET /v1/{kind}", s.list)
+	s.mux.HandleFunc("GET /v1/{kind}/{name}", s.get)
+	s.mux.HandleFunc("GET /v1/watch", s.watch)
+	s.mux.HandleFunc("GET /v1/status", s.status)
+	s.mux.HandleFunc("GET /v1/nodes", s.nodes)
+	s.mux.HandleFunc("GET /v1/top", s.top)
+	s.mux.HandleFunc("GET /v1/explain/requests/{id}", s.explain)
+	s.mux.HandleFunc("GET /readyz", s.ready)
+	s.mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { answer(w, struct{}{}) })
+	if s.options.Metrics != nil {
+		s.mux.Handle("GET /metrics", s.options.Metrics)
 	}
+	s.mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		answerError(w, notFound("no such path: "+r.Method+" "+r.URL.Path))
+	})
 }
 
-func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
-	view := s.snapshot.Load()
-	if view == nil || view.Revision == 0 || view.Isolated {
-		http.Error(w, "not ready", http.StatusServiceUnavailable)
-	}
+func (s *Server) addProfiling() {
+	s.mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	s.mux.HandleFunc("GET /debug/pprof/cmdline", pprof.Cmdline)
+	s.mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	s.mux.HandleFunc("GET /debug/pprof/symbol", pprof.Symbol)
+	s.mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
 }
