--- /dev/null
+++ b/pkg/retry/retry_test.go
@@ -0,0 +1,63 @@
+package retry
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// Guards against a second execution that section 6 forbids and against a final
+// not-run after a try whose outcome is unknown.
+func TestDecideBoundsExecutions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		budget := &Budget{}
+		try := Try{
+			Idempotent: rapid.Bool().Draw(t, "idempotent"), Depth: rapid.IntRange(0, 2).Draw(t, "depth"),
+			NoRetry: rapid.Bool().Draw(t, "noRetry"),
+		}
+		for {
+			try.Tries++
+			try.Outcome = rapid.SampledFrom([]Outcome{NotRun, Unknown}).Draw(t, "outcome")
+			if try.Outcome == Unknown {
+				try.Unknown++
+			}
+			decision := budget.Decide(try)
+			g.Expect(decision.Outcome == NotRun).To(Equal(try.Unknown == 0))
+			if !decision.Again {
+				break
+			}
+		}
+		g.Expect(try.Tries).To(BeNumerically("<=", MaxTries))
+		g.Expect(try.Unknown).To(BeNumerically("<=", 2))
+		if !try.Idempotent || try.Depth > 0 || try.NoRetry {
+			g.Expect(try.Unknown).To(BeNumerically("<=", 1))
+		}
+	})
+}
+
+// Guards against a budget above 10 percent of the successes plus 10.
+func TestBudget(t *testing.T) {
+	g := NewWithT(t)
+	budget := &Budget{}
+	allowed := 0
+	for i := range 1000 {
+		if budget.Decide(Try{Outcome: Unknown, Tries: 1, Unknown: 1, Idempotent: true}).Again {
+			allowed++
+		}
+		if i < 500 {
+			budget.Succeeded()
+		}
+	}
+	g.Expect(allowed).To(Equal(reserveRetries + 50))
+}
+
+// Guards against a refusal being taken for not run without proof.
+func TestClassify(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(Classify(Failure{NotSent: true})).To(Equal(NotRun))
+	g.Expect(Classify(Failure{Status: 503, Declared: NotRun})).To(Equal(NotRun))
+	g.Expect(Classify(Failure{Status: 503})).To(Equal(Unknown))
+	g.Expect(Classify(Failure{Status: 500, Declared: NotRun})).To(Equal(Unknown))
+}
--- /dev/null
+++ b/pkg/transport/attempt.go
@@ -0,0 +1,57 @@
+package transport
+
+import "sync/atomic"
+
+// States of an attempt.
+const (
+	stateOpen    int32 = iota // no byte was passed to the kernel
+	stateWriting              // a write is in progress
+	stateWritten              // a byte was passed to the kernel
+	stateSealed               // no byte was passed nor will be
+)
+
+// attempt is one sending of one request.
+type attempt struct {
+	state atomic.Int32
+	conn  atomic.Pointer[conn]
+	// wrote tells that the whole request was written.
+	wrote atomic.Bool
+}
+
+// startWrite claims the right to pass bytes to the kernel.
+func (a *attempt) startWrite() bool {
+	return a.state.CompareAndSwap(stateOpen, stateWriting) || a.state.Load() == stateWritten
+}
+
+// endWrite records the result of the first write. A write of which the kernel
+// took nothing leaves the attempt open.
+func (a *attempt) endWrite(n int) {
+	if n > 0 {
+		a.state.CompareAndSwap(stateWriting, stateWritten)
+		return
+	}
+	a.state.CompareAndSwap(stateWriting, stateOpen)
+}
+
+// seal forbids all further writes. It fails once a byte may have been sent.
+func (a *attempt) seal() bool {
+	if !a.state.CompareAndSwap(stateOpen, stateSealed) {
+		return a.state.Load() == stateSealed
+	}
+	a.closeConn()
+	return true
+}
+
+// closeConn closes the connection unless another attempt has it by now.
+func (a *attempt) closeConn() {
+	used := a.conn.Load()
+	if used != nil {
+		used.closeFor(a)
+	}
+}
+
+// take binds the attempt to the connection that the Transport picked.
+func (a *attempt) take(c *conn) {
+	a.conn.Store(c)
+	c.assign(a)
+}
--- /dev/null
+++ b/pkg/transport/client_test.go
@@ -0,0 +1,242 @@
+package transport
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+)
+
+// ends are the steps at which a target can end or stall an exchange. after is
+// what it does before; whole tells that the request was read whole.
+var ends = []struct {
+	name  string
+	after script
+	step  []Step
+	runs  int32
+}{
+	{"before reading", func(*rawTarget, *rawConn, int) {}, []Step{StepWrite, StepReadHeader}, 0},
+	{"after the headers", func(t *rawTarget, c *rawConn, _ int) { t.head(c) }, []Step{StepWrite, StepReadHeader}, 1},
+	{"in the body", func(t *rawTarget, c *rawConn, _ int) {
+		t.head(c)
+		_, _ = c.in.ReadByte()
+	}, []Step{StepWrite, StepReadHeader}, 1},
+	{"before the answer", func(t *rawTarget, c *rawConn, _ int) {
+		t.head(c)
+		_, _ = io.ReadFull(c.in, make([]byte, 4))
+	}, []Step{StepReadHeader}, 1},
+	{"in the answer's headers", func(t *rawTarget, c *rawConn, _ int) {
+		t.head(c)
+		_, _ = io.ReadFull(c.in, make([]byte, 4))
+		c.say("HTTP/1.1 200 OK\r\nContent-")
+	}, []Step{StepReadHeader}, 1},
+	{"in the answer's body", func(t *rawTarget, c *rawConn, _ int) {
+		t.head(c)
+		_, _ = io.ReadFull(c.in, make([]byte, 4))
+		c.say("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+	}, []Step{StepReadBody}, 1},
+}
+
+// Guards against a hidden second sending, a wrong step and a false not-run when
+// the target closes the connection at any step.
+func TestCloseAtEachStep(t *testing.T) {
+	for _, end := range ends {
+		t.Run(end.name, func(t *testing.T) {
+			g := NewWithT(t)
+			target := startRaw(t, end.after)
+			request := newRequest(t.Context(), target, http.MethodPost, "a", strings.NewReader("body"))
+			request.Header.Set(headerKey, "k")
+			_, err := call(NewClient(), request)
+			var failure *Error
+			g.Expect(errors.As(err, &failure)).To(BeTrue())
+			g.Expect(end.step).To(ContainElement(failure.Step))
+			g.Expect(failure.Peer).To(Equal(target.address()))
+			g.Expect(target.accepted.Load()).To(Equal(int32(1)))
+			g.Expect(target.executions.Load()).To(BeNumerically("<=", end.runs))
+			if failure.NotRun {
+				g.Expect(target.executions.Load()).To(BeZero())
+			}
+		})
+	}
+}
+
+// Guards against reuse of a connection whose request was cancelled, and against
+// a false not-run, when the target stalls at any step.
+func TestCancelAtEachStep(t *testing.T) {
+	for _, end := range ends {
+		t.Run(end.name, func(t *testing.T) {
+			g := NewWithT(t)
+			target := startRaw(t, func(target *rawTarget, c *rawConn, n int) {
+				if n > 1 {
+					id, _ := target.head(c)
+					c.say(answerTo(id))
+					return
+				}
+				_, _ = c.in.Peek(1) // a dial that outlives its request carries none
+				end.after(target, c, n)
+				target.stall()
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			go func() {
+				<-target.stalled
+				cancel()
+			}()
+			client := NewClient()
+			_, err := call(client, newRequest(ctx, target, http.MethodPost, "a", strings.NewReader("body")))
+			var failure *Error
+			g.Expect(errors.As(err, &failure)).To(BeTrue())
+			if failure.NotRun {
+				g.Expect(target.executions.Load()).To(BeZero())
+			}
+			body, err := call(client, newRequest(t.Context(), target, http.MethodGet, "b", nil))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(body).To(Equal("b"))
+			g.Expect(target.accepted.Load()).To(Equal(int32(2)))
+		})
+	}
+}
+
+// Guards against the Transport's own second sending on a reused connection,
+// which it does for GET, for an idempotency key and for requests without a body.
+func TestNoHiddenResendOnReusedConnection(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodDelete, http.MethodPost, http.MethodOptions} {
+		t.Run(method, func(t *testing.T) {
+			g := NewWithT(t)
+			target := startRaw(t, func(target *rawTarget, c *rawConn, _ int) {
+				id, _ := target.head(c)
+				c.say(answerTo(id))
+				target.head(c)
+			})
+			client := NewClient()
+			_, err := call(client, newRequest(t.Context(), target, http.MethodGet, "a", nil))
+			g.Expect(err).NotTo(HaveOccurred())
+			second := newRequest(t.Context(), target, method, "b", nil)
+			second.Header.Set(headerKey, "k")
+			_, err = call(client, second)
+			var failure *Error
+			g.Expect(errors.As(err, &failure)).To(BeTrue())
+			g.Expect(failure.NotRun).To(BeFalse())
+			g.Expect(failure.Step).To(Equal(StepReadHeader))
+			g.Expect(target.accepted.Load()).To(Equal(int32(1)))
+			g.Expect(target.executions.Load()).To(Equal(int32(2)))
+		})
+	}
+}
+
+// Guards against a request reported as run, or sent twice, when the target
+// closed the connection while it was idle.
+func TestIdleConnectionClosedByTarget(t *testing.T) {
+	g := NewWithT(t)
+	target := startRaw(t, func(target *rawTarget, c *rawConn, _ int) {
+		id, _ := target.head(c)
+		c.say(answerTo(id))
+	})
+	client := NewClient()
+	served := int32(0)
+	for i := range 50 {
+		id := strconv.Itoa(i)
+		body, err := call(client, newRequest(t.Context(), target, http.MethodGet, id, nil))
+		if err == nil {
+			g.Expect(body).To(Equal(id))
+			served++
+		}
+	}
+	g.Expect(target.executions.Load()).To(Equal(served))
+}
+
+// Guards against an answer that nobody asked for reaching the next caller: whole
+// or in parts, in one segment with the real answer or while the connection is idle.
+func TestUnaskedAnswerIsNeverSeen(t *testing.T) {
+	unasked := map[string]func(c *rawConn, id string){
+		"same segment":   func(c *rawConn, id string) { c.say(answerTo(id) + answerTo("unasked")) },
+		"part of header": func(c *rawConn, id string) { c.say(answerTo(id) + answerTo("unasked")[:20]) },
+		"part of body":   func(c *rawConn, id string) { c.say(answerTo(id) + answerTo("unasked")[:len(answerTo("unasked"))-2]) },
+		"while idle": func(c *rawConn, id string) {
+			c.say(answerTo(id))
+			c.say(answerTo("unasked"))
+		},
+	}
+	for name, answer := range unasked {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			target := startRaw(t, func(target *rawTarget, c *rawConn, _ int) {
+				for {
+					id, ok := target.head(c)
+					if !ok {
+						return
+					}
+					answer(c, id)
+					target.stalled <- struct{}{}
+				}
+			})
+			client := NewClient()
+			for i := range 300 {
+				id := strconv.Itoa(i)
+				body, err := call(client, newRequest(t.Context(), target, http.MethodGet, id, nil))
+				if err != nil {
+					g.Expect(errors.As(err, new(*Error))).To(BeTrue())
+					continue
+				}
+				g.Expect(body).To(Equal(id))
+				<-target.stalled // the unasked answer is in this side's kernel now
+			}
+		})
+	}
+}
+
+// Guards against an answer that names another request, which is how a late
+// answer on a busy connection shows.
+func TestAnswerOfAnotherRequest(t *testing.T) {
+	g := NewWithT(t)
+	target := startRaw(t, func(target *rawTarget, c *rawConn, _ int) {
+		target.head(c)
+		c.say("HTTP/1.1 200 OK\r\n" + headerRequestID + ": other\r\nContent-Length: 0\r\n\r\n")
+		target.stall()
+	})
+	_, err := call(NewClient(), newRequest(t.Context(), target, http.MethodGet, "mine", nil))
+	g.Expect(errors.Is(err, ErrWrongAnswer)).To(BeTrue())
+}
+
+// Guards against more connections than the target accepts, and against a
+// request over the limit being reported as run.
+func TestConnectionLimit(t *testing.T) {
+	g := NewWithT(t)
+	target := startRaw(t, func(target *rawTarget, c *rawConn, _ int) {
+		target.head(c)
+		target.stall()
+	})
+	client := NewClient()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() {
+		_, err := client.Do(newRequest(ctx, target, http.MethodGet, "a", nil), 1)
+		done <- err
+	}()
+	<-target.stalled
+	_, err := client.Do(newRequest(t.Context(), target, http.MethodGet, "b", nil), 1)
+	g.Expect(errors.Is(err, ErrConnectionLimit)).To(BeTrue())
+	var failure *Error
+	g.Expect(errors.As(err, &failure)).To(BeTrue())
+	g.Expect(failure.NotRun).To(BeTrue())
+	g.Expect(client.Connections(target.address())).To(Equal(1))
+	cancel()
+	<-done
+	g.Expect(target.executions.Load()).To(Equal(int32(1)))
+}
+
+// Guards against a refused connection being reported as run.
+func TestRefusedConnection(t *testing.T) {
+	g := NewWithT(t)
+	target := startRaw(t, func(*rawTarget, *rawConn, int) {})
+	g.Expect(target.listener.Close()).To(Succeed())
+	_, err := call(NewClient(), newRequest(t.Context(), target, http.MethodGet, "a", nil))
+	var failure *Error
+	g.Expect(errors.As(err, &failure)).To(BeTrue())
+	g.Expect(failure.NotRun && failure.Refused).To(BeTrue())
+	g.Expect(failure.Step).To(Equal(StepDial))
+}
--- /dev/null
+++ b/pkg/transport/conn.go
@@ -0,0 +1,224 @@
+package transport
+
+import (
+	"io"
+	"net"
+	"sync"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// readBufferBytes is the size of the Transport's read buffer. A read of exactly
+// this size shows that the buffer is empty, so nothing is left of earlier answers.
+const readBufferBytes = 4096
+
+// conn is the connection guard. It refuses to send a request that was sealed or
+// already sent elsewhere, and it accepts no data before a request asked for it.
+type conn struct {
+	net.Conn
+	raw     syscall.RawConn
+	release func()
+
+	mu      sync.Mutex
+	changed sync.Cond
+	attempt *attempt
+	began   bool // a byte of the attempt's request may have been sent
+	used    bool // an earlier attempt had the connection
+	quiet   bool // the reader waits with an empty buffer
+	closed  bool
+
+	// Arguments and results of the read in progress; there is one reader.
+	buffer  []byte
+	n       int
+	readErr error
+	readFn  func(fd uintptr) bool
+}
+
+func newConn(inner net.Conn, release func()) (*conn, error) {
+	system, ok := inner.(syscall.Conn)
+	if !ok {
+		return nil, errors.Errorf("no file descriptor in %T", inner)
+	}
+	raw, err := system.SyscallConn()
+	if err != nil {
+		return nil, errors.Wrap(err, "file descriptor")
+	}
+	c := &conn{Conn: inner, raw: raw, release: release, quiet: true}
+	c.changed.L = &c.mu
+	c.readFn = c.readReady
+	return c, nil
+}
+
+func (c *conn) assign(a *attempt) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.used = c.attempt != nil
+	c.attempt = a
+	c.began = false
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	err := c.beforeRead(len(p))
+	if err != nil {
+		return 0, err
+	}
+	c.buffer, c.n, c.readErr = p, 0, nil
+	err = c.raw.Read(c.readFn)
+	c.buffer = nil
+	if err != nil {
+		return 0, err
+	}
+	return c.n, c.readErr
+}
+
+func (c *conn) beforeRead(size int) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if size == readBufferBytes {
+		c.quiet = true
+		c.changed.Broadcast()
+		return nil
+	}
+	if c.attempt != nil && !c.began {
+		// The reader parses what an earlier answer left in its buffer.
+		return ErrUnasked
+	}
+	return nil
+}
+
+// readReady reads without blocking. The lock makes the read and the check that
+// a request was sent one step, so that the writer cannot come between them.
+func (c *conn) readReady(fd uintptr) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n, err := ignoringInterrupts(func() (int, error) { return syscall.Read(int(fd), c.buffer) })
+	if err == syscall.EAGAIN {
+		return false
+	}
+	c.n, c.readErr = c.judge(n, err)
+	return true
+}
+
+func (c *conn) judge(n int, err error) (int, error) {
+	if err != nil {
+		return 0, errors.Wrap(err, "read")
+	}
+	if n == 0 {
+		return 0, io.EOF
+	}
+	c.quiet = false
+	if !c.began {
+		return 0, ErrUnasked
+	}
+	return n, nil
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	a, err := c.begin()
+	if err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	a.endWrite(n)
+	return n, err
+}
+
+// begin waits until nothing of an earlier answer is left and claims the attempt.
+func (c *conn) begin() (*attempt, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := c.attempt
+	if a == nil {
+		return nil, ErrSealed
+	}
+	if c.began {
+		return a, c.claim(a)
+	}
+	for !c.quiet && !c.closed {
+		c.changed.Wait()
+	}
+	if c.closed {
+		return nil, net.ErrClosed
+	}
+	err := c.checkIdle()
+	if err != nil {
+		return nil, err
+	}
+	if a.state.Load() == stateWritten {
+		return nil, ErrResend
+	}
+	err = c.claim(a)
+	if err != nil {
+		return nil, err
+	}
+	c.began = true
+	return a, nil
+}
+
+func (c *conn) claim(a *attempt) error {
+	if !a.startWrite() {
+		return ErrSealed
+	}
+	return nil
+}
+
+// checkIdle looks for data or an end of stream that the kernel already holds.
+func (c *conn) checkIdle() error {
+	if !c.used {
+		return nil
+	}
+	var n int
+	var peekErr error
+	err := c.raw.Control(func(fd uintptr) {
+		var first [1]byte
+		n, peekErr = ignoringInterrupts(func() (int, error) {
+			got, _, err := syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			return got, err
+		})
+	})
+	switch {
+	case err != nil:
+		return err
+	case peekErr == syscall.EAGAIN:
+		return nil
+	case peekErr != nil || n == 0:
+		return ErrStale
+	default:
+		return ErrUnasked
+	}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	first := !c.closed
+	c.closed = true
+	c.changed.Broadcast()
+	c.mu.Unlock()
+	if first {
+		c.release()
+	}
+	return c.Conn.Close()
+}
+
+// closeFor closes the connection if a is the last attempt that had it.
+func (c *conn) closeFor(a *attempt) {
+	c.mu.Lock()
+	owned := c.attempt == a
+	c.mu.Unlock()
+	if owned {
+		_ = c.Close()
+	}
+}
+
+func ignoringInterrupts(call func() (int, error)) (int, error) {
+	for {
+		n, err := call()
+		if err != syscall.EINTR {
+			return n, err
+		}
+	}
+}
