--- /dev/null
+++ b/pkg/control/backend.go
@@ -0,0 +1,168 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/configuration"
+	"github.com/fireflychute/fireflychute/pkg/datacentre"
+	"github.com/fireflychute/fireflychute/pkg/explain"
+	"github.com/fireflychute/fireflychute/pkg/operator"
+	"github.com/fireflychute/fireflychute/pkg/platform"
+	"github.com/fireflychute/fireflychute/pkg/target"
+)
+
+const (
+	// statusReadTime bounds reading a status for an operator.
+	statusReadTime = 500 * time.Millisecond
+	// statusCacheTime is how long a status that was read is shown again, so that
+	// operators' tools that poll do not load the platform.
+	statusCacheTime = time.Second
+)
+
+// Backend gives operators access to the control state of a node. Its methods may
+// be called from any goroutine.
+type Backend struct {
+	controller *Controller
+	ring       *explain.Ring
+	draining   atomic.Bool
+
+	mu       sync.Mutex
+	statuses map[string]cachedStatus
+}
+
+type cachedStatus struct {
+	at    time.Time
+	value json.RawMessage
+	found bool
+}
+
+var _ operator.Backend = (*Backend)(nil)
+
+// NewBackend returns the operators' access to a controller and to the decisions
+// that ring holds.
+func NewBackend(controller *Controller, ring *explain.Ring) *Backend {
+	return &Backend{controller: controller, ring: ring, statuses: map[string]cachedStatus{}}
+}
+
+// Drain makes the node not ready before a planned stop.
+func (b *Backend) Drain() { b.draining.Store(true) }
+
+// Configuration implements operator.Backend.
+func (b *Backend) Configuration() operator.Configuration {
+	v := b.controller.view.Load()
+	result := v.configuration
+	v.changes.mu.Lock()
+	defer v.changes.mu.Unlock()
+	result.StatusVersion = v.changes.statusVersion
+	return result
+}
+
+// statusKinds maps kinds of the resource API to the objects that keep their status.
+var statusKinds = map[string]string{
+	api.KindRollout:    platform.KindRolloutStatus,
+	api.KindDataCentre: platform.KindDataCentreStatus,
+}
+
+// Status implements operator.Backend. It reads the platform, and shows the last
+// known status when the platform does not answer.
+func (b *Backend) Status(kind, name string) (json.RawMessage, bool) {
+	stored, ok := statusKinds[kind]
+	if !ok {
+		return nil, false
+	}
+	return b.readStatus(stored, name)
+}
+
+func (b *Backend) readStatus(kind, name string) (json.RawMessage, bool) {
+	key := kind + "/" + name
+	b.mu.Lock()
+	cached := b.statuses[key]
+	b.mu.Unlock()
+	if time.Since(cached.at) < statusCacheTime {
+		return cached.value, cached.found
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), statusReadTime)
+	defer cancel()
+	object, err := b.controller.options.Store.Get(ctx, kind, name)
+	if err != nil && !notFound(err) {
+		return cached.value, cached.found
+	}
+	fresh := cachedStatus{at: time.Now(), value: object.Value, found: err == nil}
+	b.mu.Lock()
+	b.statuses[key] = fresh
+	b.mu.Unlock()
+	return fresh.value, fresh.found
+}
+
+// Fleet implements operator.Backend.
+func (b *Backend) Fleet() (api.FleetStatus, bool) {
+	var status api.FleetStatus
+	value, found := b.readStatus(platform.KindFleetStatus, fleetName)
+	if !found {
+		return status, false
+	}
+	err := json.Unmarshal(value, &status)
+	return status, err == nil
+}
+
+// Nodes implements operator.Backend.
+func (b *Backend) Nodes() []api.NodeStatus {
+	return b.controller.view.Load().nodes
+}
+
+// Readiness implements operator.Backend.
+func (b *Backend) Readiness() operator.Readiness {
+	if b.draining.Load() {
+		return operator.Readiness{Reason: "stopping"}
+	}
+	return b.controller.view.Load().readiness
+}
+
+// Targets implements operator.Backend.
+func (b *Backend) Targets() []operator.TargetLoad {
+	v := b.controller.view.Load()
+	loads := make([]operator.TargetLoad, 0, len(v.entries))
+	for _, entry := range v.entries {
+		loads = append(loads, targetLoad(entry, v.units[entry.Address]))
+	}
+	return loads
+}
+
+func targetLoad(entry target.Entry, units int) operator.TargetLoad {
+	load := operator.TargetLoad{
+		Address: entry.Address, Service: entry.Service, DataCentre: entry.DataCentre, Version: entry.Version,
+		State: "Warm", Units: units, InFlight: int(entry.Counters.InFlight.Load()), LatencyMicros: entry.Counters.LatencyMicros.Load(),
+	}
+	if entry.Cold {
+		load.State = "Cold"
+	}
+	if entry.Leaving {
+		load.State = "Leaving"
+	}
+	if report := entry.Counters.LastReport.Load(); report != nil {
+		load.Reported = report.InFlight
+	}
+	return load
+}
+
+// CapacityProblems implements operator.Backend.
+func (b *Backend) CapacityProblems(current, proposed *configuration.Set) []operator.CapacityProblem {
+	found := []operator.CapacityProblem{}
+	for _, problem := range datacentre.CheckCapacity(current, proposed, b.controller.view.Load().loads) {
+		found = append(found, operator.CapacityProblem{Service: problem.Service, Reason: problem.Message, Refuse: problem.Refuse})
+	}
+	return found
+}
+
+// Changed implements operator.Backend.
+func (b *Backend) Changed() <-chan struct{} {
+	v := b.controller.view.Load()
+	v.changes.mu.Lock()
+	defer v.changes.mu.Unlock()
+	return v.changes.changed
+}
--- a/pkg/control/build.go
+++ b/pkg/control/build.go
@@ -1,59 +1,174 @@
 package control
 
 import (
-	"strings"
+	"net/netip"
+	"sort"
+	"time"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
-	"github.com/fireflychute/fireflychute/pkg/configuration"
+	"github.com/fireflychute/fireflychute/pkg/outcome"
+	"github.com/fireflychute/fireflychute/pkg/share"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
 	"github.com/fireflychute/fireflychute/pkg/target"
 )
 
-const roleTarget = "target"
+// publish builds a new snapshot when something changed that traffic must see.
+func (c *Controller) publish(now time.Time) {
+	isolated := c.isolated(now)
+	if c.current != nil && c.current.Isolated != isolated {
+		c.options.Log.Warn().Bool("isolated", isolated).Msg("isolation changed")
+		c.dirty = true
+	}
+	c.noteFleet(now)
+	if !c.dirty || c.set == nil {
+		return
+	}
+	c.dirty = false
+	c.current = c.build(isolated)
+	c.options.Published.Store(c.current)
+	c.counters.snapshots.Add(1)
+	c.publishView(now)
+}
+
+// noteFleet marks the snapshot as old when the division of limits changed.
+func (c *Controller) noteFleet(now time.Time) {
+	counted := c.members.Counted(now)
+	joined := c.members.Joined()
+	if joined == c.joined && equal(counted, c.counted) {
+		return
+	}
+	c.counted = counted
+	c.joined = joined
+	c.ranks = map[string]int{}
+	c.dirty = true
+}
+
+func equal(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// isolated tells that this node hears neither the platform nor any of the nodes
+// that it knows of.
+func (c *Controller) isolated(now time.Time) bool {
+	alone := len(c.members.Members()) <= 1
+	platformSilent := now.Sub(c.platformHeardAt) >= isolationTime
+	return !alone && platformSilent && now.Sub(c.heardPeersAt()) >= isolationTime
+}
+
+// units returns this node's part of a target's limit. A node that has not joined
+// uses none, because the others do not count it yet.
+func (c *Controller) units(entry target.Entry) int {
+	if !c.joined {
+		return 0
+	}
+	rank, known := c.ranks[entry.Address]
+	if !known {
+		rank = share.Rank(entry.Address, c.options.Self.Name, c.counted)
+		c.ranks[entry.Address] = rank
+	}
+	units := entry.Units / len(c.counted)
+	if rank < entry.Units%len(c.counted) {
+		units++
+	}
+	return units
+}
 
-// buildSnapshot joins the configuration and the list of VMs.
-func buildSnapshot(set *configuration.Set, list api.VMList, local string, countersOf func(string) *target.Counters) *snapshot.Snapshot {
-	view := &snapshot.Snapshot{Revision: set.Revision}
+// build joins the configuration, the targets and the moves.
+func (c *Controller) build(isolated bool) *snapshot.Snapshot {
+	next := &snapshot.Snapshot{Revision: c.set.Revision, Isolated: isolated, Callers: buildCallers(c.set.Callers)}
+	targets := c.targetsByService()
 	services := map[string]*snapshot.Service{}
-	for name, spec := range set.Services {
-		services[name] = buildService(name, spec, set, list, local, countersOf)
+	for name, spec := range c.set.Services {
+		services[name] = c.buildService(name, spec, targets[name])
 	}
-	for name, spec := range set.Routes {
-		view.Routes = append(view.Routes, &snapshot.Route{
-			Name: name, Spec: spec, WorkName: spec.WorkKind, Work: set.WorkKinds[spec.WorkKind], Service: services[spec.Service],
-		})
+	for name, spec := range c.set.Routes {
+		next.Routes = append(next.Routes, c.buildRoute(name, spec, services[spec.Service]))
 	}
-	snapshot.SortRoutes(view.Routes)
-	return view
+	snapshot.SortRoutes(next.Routes)
+	return next
 }
 
-func buildService(name string, spec api.ServiceSpec, set *configuration.Set, list api.VMList, local string, countersOf func(string) *target.Counters) *snapshot.Service {
-	service := &snapshot.Service{Name: name, Spec: spec}
-	targets := []*snapshot.Target{}
-	for _, vm := range list.VMs {
-		if !takesWork(vm, name, set) {
+func (c *Controller) buildRoute(name string, spec api.RouteSpec, service *snapshot.Service) *snapshot.Route {
+	route := &snapshot.Route{
+		Name: name, Spec: spec, WorkName: spec.WorkKind, Work: c.set.WorkKinds[spec.WorkKind], Service: service,
+	}
+	key, declared, ok := c.rolloutOf(spec.Service)
+	if ok {
+		route.Recorders = map[string]*outcome.Recorder{
+			declared.From: c.recorder(countKey{key, name, declared.From}),
+			declared.To:   c.recorder(countKey{key, name, declared.To}),
+		}
+	}
+	return route
+}
+
+// targetsByService returns the targets that may receive new work.
+func (c *Controller) targetsByService() map[string][]*snapshot.Target {
+	found := map[string][]*snapshot.Target{}
+	for _, entry := range c.registry.Entries() {
+		if entry.Leaving || c.set.DataCentres[entry.DataCentre].State != api.DataCentreStateIn {
 			continue
 		}
-		units := spec.Slots + spec.Queue
-		service.Units += units
-		targets = append(targets, &snapshot.Target{
-			Address: vm.Address, DataCentre: vm.DataCentre, Version: vm.Version,
-			Units: units, Local: vm.DataCentre == local, Counters: countersOf(vm.Address),
+		found[entry.Service] = append(found[entry.Service], &snapshot.Target{
+			Address: entry.Address, DataCentre: entry.DataCentre, Version: entry.Version, Units: c.units(entry),
+			Local: entry.DataCentre == c.options.Self.DataCentre, Cold: entry.Cold, Counters: entry.Counters,
 		})
 	}
-	service.Versions = []snapshot.Version{{Share: 1, Targets: targets}}
+	return found
+}
+
+func (c *Controller) buildService(name string, spec api.ServiceSpec, targets []*snapshot.Target) *snapshot.Service {
+	service := &snapshot.Service{Name: name, Spec: spec}
+	key, declared, ok := c.rolloutOf(name)
+	if !ok {
+		service.Versions = []snapshot.Version{{Share: 1, Targets: targets}}
+	} else {
+		part := c.newShare(key, declared)
+		service.Versions = []snapshot.Version{
+			{Name: declared.From, Share: 1 - part, Targets: ofVersion(targets, declared.From)},
+			{Name: declared.To, Share: part, Targets: ofVersion(targets, declared.To)},
+		}
+	}
+	for _, version := range service.Versions {
+		for _, t := range version.Targets {
+			service.Units += t.Units
+		}
+	}
 	return service
 }
 
-func takesWork(vm api.VM, service string, set *configuration.Set) bool {
-	if vm.Role != roleTarget || vm.Service != service || vm.State != api.VMStateLive {
-		return false
+func ofVersion(targets []*snapshot.Target, version string) []*snapshot.Target {
+	found := []*snapshot.Target{}
+	for _, t := range targets {
+		if t.Version == version {
+			found = append(found, t)
+		}
 	}
-	return set.DataCentres[vm.DataCentre].State == api.DataCentreStateIn
+	return found
 }
 
-// splitKey parts kind/name.
-func splitKey(key string) (kind, name string) {
-	kind, name, _ = strings.Cut(key, "/")
-	return kind, name
+// buildCallers parses the networks of callers. Declarations were validated, so a
+// network that does not parse is skipped.
+func buildCallers(callers map[string]api.CallerSpec) []snapshot.CallerGroup {
+	groups := []snapshot.CallerGroup{}
+	for name, spec := range callers {
+		group := snapshot.CallerGroup{Name: name, Weight: spec.Weight}
+		for _, cidr := range spec.CIDRs {
+			prefix, err := netip.ParsePrefix(cidr)
+			if err == nil {
+				group.Prefixes = append(group.Prefixes, prefix)
+			}
+		}
+		groups = append(groups, group)
+	}
+	sort.Slice(groups, func(i, j int) bool { return groups[i].Name < groups[j].Name })
+	return groups
 }
--- /dev/null
+++ b/pkg/control/controller.go
@@ -0,0 +1,145 @@
+package control
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/configuration"
+	"github.com/fireflychute/fireflychute/pkg/membership"
+	"github.com/fireflychute/fireflychute/pkg/snapshot"
+	"github.com/fireflychute/fireflychute/pkg/target"
+)
+
+// event is a step that runs on the control goroutine.
+type event func(now time.Time)
+
+// Controller owns the control state. Its fields belong to the goroutine that
+// runs Run; other goroutines reach it through post and the published view.
+type Controller struct {
+	options Options
+	events  chan event
+	// ctx ends when the control goroutine has stopped.
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	members  *membership.Machine
+	registry *target.Registry
+	config   *configuration.Store
+	set      *configuration.Set
+	vms      api.VMList
+	leases   leases
+	sync     syncState
+	rollouts rollouts
+	moves    moves
+	duty     duty
+
+	startedAt       time.Time
+	platformHeardAt time.Time
+	lastEvidence    time.Time
+	lastReport      time.Time
+	reports         uint64 // sent to the controller
+	dirty           bool
+	joined          bool
+	counted         []string
+	ranks           map[string]int // of this node, by target address
+	current         *snapshot.Snapshot
+	view            atomic.Pointer[view]
+	counters        Counters
+}
+
+// New returns a controller. Run starts it.
+func New(options Options) *Controller {
+	now := time.Now()
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Controller{
+		ctx:       ctx,
+		cancel:    cancel,
+		options:   options,
+		events:    make(chan event, eventBuffer),
+		members:   membership.New(options.Self, options.Seeds, options.Random, now),
+		registry:  target.NewRegistry(options.Self.Name),
+		config:    configuration.NewStore(),
+		ranks:     map[string]int{},
+		startedAt: now,
+	}
+	c.leases = newLeases(options.Self.Name)
+	c.rollouts = newRollouts()
+	c.moves = newMoves()
+	c.view.Store(newView())
+	return c
+}
+
+// Run owns the state until ctx ends, then gives leases back and tells the peers.
+func (c *Controller) Run(ctx context.Context) error {
+	defer c.cancel()
+	ticker := time.NewTicker(tickTime)
+	defer ticker.Stop()
+	c.start()
+	for {
+		select {
+		case step := <-c.events:
+			step(time.Now())
+		case now := <-ticker.C:
+			c.tick(now)
+		case <-ctx.Done():
+			c.stop()
+			return nil
+		}
+		c.publish(time.Now())
+	}
+}
+
+// tick runs everything that depends on time.
+func (c *Controller) tick(now time.Time) {
+	c.send(c.members.Tick(now))
+	c.registry.AssumeFleet(c.members.FleetSize(now))
+	c.collectTargets(now)
+	c.startProbes(now)
+	c.stepLeases(now)
+	c.stepSync(now)
+	if now.Sub(c.lastEvidence) >= evidenceTime {
+		c.lastEvidence = now
+		c.judgeLocally(now)
+		c.publishView(now)
+	}
+	if now.Sub(c.lastReport) >= reportTime {
+		c.lastReport = now
+		c.report(now)
+		c.stepDuty(now)
+	}
+}
+
+// post hands a step to the control goroutine and waits for room.
+func (c *Controller) post(step event) {
+	select {
+	case c.events <- step:
+	case <-c.ctx.Done():
+	}
+}
+
+// background runs work off the control goroutine and its result on it.
+func (c *Controller) background(limit time.Duration, work func(ctx context.Context) event) {
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, limit)
+		defer cancel()
+		c.post(work(ctx))
+	}()
+}
+
+// heardPlatform notes the result of a call on the platform.
+func (c *Controller) heardPlatform(now time.Time, err error) {
+	c.counters.platformCalls.Add(1)
+	if err != nil {
+		c.counters.platformFailures.Add(1)
+		return
+	}
+	c.platformHeardAt = now
+}
+
+// stop gives the leases back and leaves the fleet.
+func (c *Controller) stop() {
+	c.releaseLeases()
+	c.send(c.members.Leave(time.Now()))
+}
--- /dev/null
+++ b/pkg/control/duty.go
@@ -0,0 +1,173 @@
+package control
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/membership"
+	"github.com/fireflychute/fireflychute/pkg/platform"
+)
+
+// stored is a status as the platform has it.
+type stored[T any] struct {
+	status  T
+	version uint64
+	busy    bool
+}
+
+// duty is what the holder of the controller lease knows of the statuses. It is
+// read from the platform at each take-over and after each failed write.
+type duty struct {
+	epoch       uint64
+	loaded      bool
+	loading     bool
+	rollouts    map[string]*stored[api.RolloutStatus]
+	dataCentres map[string]*stored[api.DataCentreStatus]
+	fleet       stored[api.FleetStatus]
+}
+
+// stepDuty does the controller's work if this node holds the lease.
+func (c *Controller) stepDuty(now time.Time) {
+	epoch, held := c.controllerEpoch(now)
+	if !held || c.set == nil {
+		c.duty = duty{}
+		return
+	}
+	if c.duty.epoch != epoch {
+		c.duty = duty{epoch: epoch}
+	}
+	if !c.duty.loaded {
+		c.loadStatuses()
+		return
+	}
+	c.judgeFleet(now)
+	c.stepRollouts(now)
+	c.stepDataCentres(now)
+	c.stepFleet(now)
+}
+
+// loadStatuses reads all statuses. Writes that follow are conditional on the
+// versions read here, which fences a holder whose lease lapsed.
+func (c *Controller) loadStatuses() {
+	if c.duty.loading {
+		return
+	}
+	c.duty.loading = true
+	epoch := c.duty.epoch
+	c.background(platformCallTime, func(ctx context.Context) event {
+		fresh, err := readStatuses(ctx, c.options.Store)
+		return func(now time.Time) {
+			c.heardPlatform(now, err)
+			if c.duty.epoch != epoch {
+				return
+			}
+			c.duty.loading = false
+			if err != nil {
+				return
+			}
+			fresh.epoch = epoch
+			fresh.loaded = true
+			c.duty = fresh
+			c.announceRollouts(now)
+		}
+	})
+}
+
+func readStatuses(ctx context.Context, store platform.Store) (duty, error) {
+	var fresh duty
+	var err error
+	fresh.rollouts, err = readAll[api.RolloutStatus](ctx, store, platform.KindRolloutStatus)
+	if err != nil {
+		return fresh, err
+	}
+	fresh.dataCentres, err = readAll[api.DataCentreStatus](ctx, store, platform.KindDataCentreStatus)
+	if err != nil {
+		return fresh, err
+	}
+	fleets, err := readAll[api.FleetStatus](ctx, store, platform.KindFleetStatus)
+	if err != nil {
+		return fresh, err
+	}
+	if fleet := fleets[fleetName]; fleet != nil {
+		fresh.fleet = *fleet
+	}
+	return fresh, nil
+}
+
+func readAll[T any](ctx context.Context, store platform.Store, kind string) (map[string]*stored[T], error) {
+	objects, _, err := store.List(ctx, kind)
+	if err != nil {
+		return nil, err
+	}
+	found := map[string]*stored[T]{}
+	for _, object := range objects {
+		entry := &stored[T]{version: object.Version}
+		err := json.Unmarshal(object.Value, &entry.status)
+		if err != nil {
+			return nil, err
+		}
+		found[object.Name] = entry
+	}
+	return found, nil
+}
+
+// writeStatus stores a status conditionally and calls done after success. After
+// any failure the statuses are read again, which also recognises a write whose
+// answer was lost.
+func writeStatus[T any](c *Controller, kind, name string, entry *stored[T], next T, done func(now time.Time)) {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return
+	}
+	entry.busy = true
+	epoch := c.duty.epoch
+	ifVersion := entry.version
+	c.background(platformCallTime, func(ctx context.Context) event {
+		version, err := put(ctx, c.options.Store, kind, name, value, ifVersion)
+		return func(now time.Time) {
+			c.heardPlatform(now, ignoreConflict(err))
+			entry.busy = false
+			if c.duty.epoch != epoch {
+				return
+			}
+			if err != nil {
+				c.duty.loaded = false
+				return
+			}
+			entry.status = next
+			entry.version = version
+			c.announceStatus(now, kind, name, version)
+			done(now)
+		}
+	})
+}
+
+// announceStatus tells all nodes that a status changed, so that they read it when
+// an operator asks.
+func (c *Controller) announceStatus(now time.Time, kind, name string, version uint64) {
+	c.share(now, membership.Fact{
+		Key: prefixStatus + kind + "/" + name, Epoch: c.duty.epoch, Version: version, Value: []byte(strconv.FormatUint(version, 10)),
+	})
+}
+
+// operation returns an id for a write.
+func operation() string {
+	return rand.Text()
+}
+
+const fleetName = "nodes"
+
+// stepFleet reports where the configuration is in force.
+func (c *Controller) stepFleet(now time.Time) {
+	entry := &c.duty.fleet
+	next := c.fleetStatus(now)
+	if entry.busy || sameFleet(entry.status, next) {
+		return
+	}
+	next.Operation = operation()
+	writeStatus(c, platform.KindFleetStatus, fleetName, entry, next, func(time.Time) {})
+}
--- /dev/null
+++ b/pkg/control/facts.go
@@ -0,0 +1,114 @@
+package control
+
+import (
+	"strings"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/membership"
+	"github.com/fireflychute/fireflychute/pkg/message"
+	"github.com/fireflychute/fireflychute/pkg/target"
+)
+
+// Keys of facts, and prefixes of keys.
+const (
+	factConfig      = "config"
+	factVMs         = "vms"
+	prefixLease     = "lease/"
+	prefixRollout   = "rollout/"
+	prefixBlock     = "block/"
+	prefixStatus    = "status/"
+	firstFactNumber = 1
+)
+
+// Deliver handles a message from a peer. The answer is nil unless the message
+// asks for one.
+func (c *Controller) Deliver(from string, m message.Message) *message.Message {
+	switch {
+	case m.ConfigFetch != nil:
+		return c.ask(func(time.Time) *message.Message { return c.configDelta(m.ConfigFetch.Have) })
+	case m.VmFetch != nil:
+		return c.ask(func(time.Time) *message.Message { return c.vmAnswer() })
+	case m.NodeReport != nil:
+		c.post(func(now time.Time) { c.takeReport(now, *m.NodeReport) })
+	default:
+		c.post(func(now time.Time) {
+			c.send(c.members.Handle(now, from, m))
+			c.takeFacts(now)
+		})
+	}
+	return nil
+}
+
+// ask runs a question on the control goroutine and waits for its answer.
+func (c *Controller) ask(question func(now time.Time) *message.Message) *message.Message {
+	answer := make(chan *message.Message, 1)
+	c.post(func(now time.Time) { answer <- question(now) })
+	select {
+	case m := <-answer:
+		return m
+	case <-c.ctx.Done():
+		return nil
+	}
+}
+
+func (c *Controller) send(outgoing []membership.Outgoing) {
+	for _, out := range outgoing {
+		c.options.Peers.Send(out.To, out.Message)
+	}
+}
+
+// share publishes a fact and takes it in as if a peer had sent it.
+func (c *Controller) share(now time.Time, fact membership.Fact) {
+	c.send(c.members.Publish(fact))
+	c.takeFacts(now)
+}
+
+// takeFacts applies the facts that changed.
+func (c *Controller) takeFacts(now time.Time) {
+	for _, fact := range c.members.TakeChanged() {
+		c.takeFact(now, fact)
+	}
+}
+
+func (c *Controller) takeFact(now time.Time, fact membership.Fact) {
+	switch {
+	case strings.HasPrefix(fact.Key, membership.TargetPrefix):
+		c.takeTargetFact(now, fact)
+	case fact.Key == factConfig:
+		c.sync.announced(fact.Epoch, string(fact.Value))
+	case fact.Key == factVMs:
+		c.sync.announcedVMs(int(fact.Epoch), string(fact.Value))
+	case strings.HasPrefix(fact.Key, prefixRollout), strings.HasPrefix(fact.Key, prefixBlock):
+		c.dirty = true
+	case strings.HasPrefix(fact.Key, prefixStatus):
+		c.view.Load().statusChanged()
+	}
+}
+
+func (c *Controller) takeTargetFact(now time.Time, fact membership.Fact) {
+	changes := c.registry.ApplyFact(now, target.Fact{
+		Key: strings.TrimPrefix(fact.Key, membership.TargetPrefix), Epoch: fact.Epoch, Version: fact.Version, Value: fact.Value,
+	})
+	c.noteTargets(changes)
+}
+
+// shareTargets publishes what this node found out about targets.
+func (c *Controller) shareTargets(now time.Time, facts []target.Fact) {
+	for _, fact := range facts {
+		c.dirty = true
+		c.share(now, membership.Fact{
+			Key: membership.TargetPrefix + fact.Key, Epoch: fact.Epoch, Version: fact.Version, Value: fact.Value,
+		})
+	}
+}
+
+// noteTargets logs changes of targets' states.
+func (c *Controller) noteTargets(changes []target.Change) {
+	for _, change := range changes {
+		c.dirty = true
+		if change.Kind == target.Left || change.Kind == target.Returned {
+			c.options.Log.Info().Str("target", change.Address).Str("reason", string(change.Reason)).
+				Bool("leaving", change.Kind == target.Left).Msg("target state changed")
+		}
+	}
+}
--- /dev/null
+++ b/pkg/control/moves.go
@@ -0,0 +1,152 @@
+package control
+
+import (
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/configuration"
+	"github.com/fireflychute/fireflychute/pkg/datacentre"
+	"github.com/fireflychute/fireflychute/pkg/membership"
+	"github.com/fireflychute/fireflychute/pkg/message"
+	"github.com/fireflychute/fireflychute/pkg/platform"
+)
+
+// reportAge is how long a node's report on a data centre counts.
+const reportAge = 3 * reportTime
+
+// nodeLoad is what one node last reported of the data centres that are out.
+type nodeLoad struct {
+	at          time.Time
+	revision    uint64
+	incarnation uint64
+	sequence    uint64
+	loads       map[string]dataCentreLoad
+}
+
+// dataCentreLoad is one node's requests at the targets of a data centre.
+type dataCentreLoad struct {
+	inFlight int
+	sent     uint64 // since the node started
+}
+
+// moves is what the controller knows of data centres that move.
+type moves struct {
+	nodes map[string]nodeLoad
+	// sentNew counts requests sent since the previous step, by data centre.
+	sentNew map[string]int
+}
+
+func newMoves() moves {
+	return moves{nodes: map[string]nodeLoad{}, sentNew: map[string]int{}}
+}
+
+// repeated tells that a report was taken in before.
+func (m *moves) repeated(report message.NodeReport) bool {
+	last, known := m.nodes[report.Node]
+	return known && last.incarnation == report.Incarnation && report.Sequence <= last.sequence
+}
+
+// take notes a node's report. Requests are counted as new only against an earlier
+// report of the same start of the node under the same or a newer configuration.
+func (m *moves) take(node string, report nodeLoad, revision uint64) {
+	before, known := m.nodes[node]
+	m.nodes[node] = report
+	if !known || before.incarnation != report.incarnation || before.revision < revision {
+		return
+	}
+	for name, load := range report.loads {
+		earlier, counted := before.loads[name]
+		if counted && load.sent > earlier.sent {
+			m.sentNew[name] += int(load.sent - earlier.sent)
+		}
+	}
+}
+
+// resetReturned makes the targets of data centres cold that a newer
+// configuration takes back into service: their caches are old and their
+// connections have to be set up again.
+func (c *Controller) resetReturned(now time.Time, next *configuration.Set) {
+	if c.set == nil {
+		return
+	}
+	for name, spec := range next.DataCentres {
+		before, known := c.set.DataCentres[name]
+		if known && before.State == api.DataCentreStateOut && spec.State == api.DataCentreStateIn {
+			c.registry.ResetDataCentre(now, name)
+		}
+	}
+}
+
+// dataCentreLoads counts this node's requests at the targets of data centres that are out.
+func (c *Controller) dataCentreLoads() map[string]dataCentreLoad {
+	loads := map[string]dataCentreLoad{}
+	for name, spec := range c.set.DataCentres {
+		if spec.State == api.DataCentreStateOut {
+			loads[name] = dataCentreLoad{}
+		}
+	}
+	if len(loads) == 0 {
+		return loads
+	}
+	for _, entry := range c.registry.Entries() {
+		load, out := loads[entry.DataCentre]
+		if out {
+			load.inFlight += int(entry.Counters.InFlight.Load())
+			load.sent += entry.Counters.Sent.Load()
+			loads[entry.DataCentre] = load
+		}
+	}
+	return loads
+}
+
+// stepDataCentres computes the next status of each data centre and stores what changed.
+func (c *Controller) stepDataCentres(now time.Time) {
+	for name, spec := range c.set.DataCentres {
+		entry := c.duty.dataCentres[name]
+		if entry == nil {
+			entry = &stored[api.DataCentreStatus]{}
+			c.duty.dataCentres[name] = entry
+		}
+		if entry.busy {
+			continue
+		}
+		generation := c.set.Generations[api.KindDataCentre+"/"+name]
+		observed := c.observeDataCentre(now, name)
+		next, changed := datacentre.Next(now, c.options.Self.Name, int(c.duty.epoch), spec, generation, entry.status, observed)
+		if !changed {
+			continue
+		}
+		if next.Phase != entry.status.Phase {
+			c.options.Log.Info().Str("dataCentre", name).Str("state", string(spec.State)).Str("phase", string(next.Phase)).Msg("data centre move")
+		}
+		next.Operation = operation()
+		writeStatus(c, platform.KindDataCentreStatus, name, entry, next, func(time.Time) {})
+	}
+}
+
+func (c *Controller) observeDataCentre(now time.Time, name string) datacentre.Observed {
+	observed := datacentre.Observed{}
+	for _, member := range c.members.Members() {
+		if member.State == membership.Left || member.State == membership.Failed {
+			continue
+		}
+		report, known := c.moves.nodes[member.Name]
+		if !known || now.Sub(report.at) > reportAge || report.revision < c.revision() {
+			observed.Unreported++
+			continue
+		}
+		observed.InFlight += report.loads[name].inFlight
+	}
+	observed.SentNew = c.moves.sentNew[name]
+	delete(c.moves.sentNew, name)
+	for _, entry := range c.registry.Entries() {
+		if entry.DataCentre != name || entry.Leaving {
+			continue
+		}
+		observed.Targets++
+		if entry.Cold {
+			observed.Cold++
+		}
+	}
+	return observed
+}
--- /dev/null
+++ b/pkg/control/options.go
@@ -0,0 +1,56 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/fireflychute/fireflychute/pkg/membership"
+	"github.com/fireflychute/fireflychute/pkg/message"
+	"github.com/fireflychute/fireflychute/pkg/platform"
+	"github.com/fireflychute/fireflychute/pkg/snapshot"
+)
+
+// Peers sends messages to other nodes.
+type Peers interface {
+	// Send queues a message without waiting.
+	Send(to string, m message.Message)
+	// Call sends a message and waits for the answer.
+	Call(ctx context.Context, to string, m message.Message) (message.Message, error)
+}
+
+// Options is what a controller works with.
+type Options struct {
+	// Self is this node as the others see it.
+	Self membership.Member
+	// Seeds are peer addresses that are asked first.
+	Seeds     []string
+	Store     platform.Store
+	Peers     Peers
+	Published *atomic.Pointer[snapshot.Snapshot]
+	// Probe makes health checks; each uses a connection of its own.
+	Probe  http.RoundTripper
+	Random *rand.Rand
+	Log    zerolog.Logger
+}
+
+const (
+	// tickTime is how often counters are read and timers run.
+	tickTime = 100 * time.Millisecond
+	// evidenceTime is how often outcomes are judged at this node.
+	evidenceTime = time.Second
+	// reportTime is how often a node reports to the controller and the controller steps moves.
+	reportTime = 2 * time.Second
+	// isolationTime is how long a node keeps serving without any peer or the platform.
+	isolationTime = 5 * time.Second
+	// platformCallTime bounds a call on the platform that is not a watch.
+	platformCallTime = 3 * time.Second
+	// peerCallTime bounds a call on a peer.
+	peerCallTime = 2 * time.Second
+	// eventBuffer is how many events may wait for the control goroutine.
+	eventBuffer = 1024
+)
--- /dev/null
+++ b/pkg/control/probes.go
@@ -0,0 +1,71 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/transport"
+)
+
+// probeTime bounds one health check.
+const probeTime = time.Second
+
+// services returns the specs of the present configuration.
+func (c *Controller) services() map[string]api.ServiceSpec {
+	if c.set == nil {
+		return nil
+	}
+	return c.set.Services
+}
+
+// collectTargets reads the counters of traffic and steps the ramps.
+func (c *Controller) collectTargets(now time.Time) {
+	facts := c.registry.Collect(now, c.members.Counted(now), c.services())
+	c.shareTargets(now, facts)
+}
+
+func (c *Controller) startProbes(now time.Time) {
+	if !c.members.Joined() {
+		// Before it has joined, other nodes do not count this one in the budget.
+		return
+	}
+	for _, probe := range c.registry.Probes(now, c.members.Counted(now), c.services()) {
+		c.counters.probes.Add(1)
+		c.background(probeTime, func(ctx context.Context) event {
+			result := c.probe(ctx, probe.Address)
+			return func(now time.Time) { c.shareTargets(now, c.registry.Probed(now, result)) }
+		})
+	}
+}
+
+// probe makes one health check.
+func (c *Controller) probe(ctx context.Context, address string) target.ProbeResult {
+	failed := target.ProbeResult{Address: address, Failed: true}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/health", nil)
+	if err != nil {
+		return failed
+	}
+	request.Close = true
+	answer, err := c.options.Probe.RoundTrip(request)
+	if err != nil {
+		failed.Refused = refused(err)
+		return failed
+	}
+	_ = answer.Body.Close()
+	report, err := target.ParseReport(answer.Header.Get(target.HeaderLoad))
+	if err != nil {
+		return failed
+	}
+	return target.ProbeResult{Address: address, Report: report}
+}
+
+// refused tells that the connection could not be set up.
+func refused(err error) bool {
+	var failure *transport.Error
+	return errors.As(err, &failure) && failure.Step == transport.StepDial
+}
--- /dev/null
+++ b/pkg/control/report.go
@@ -0,0 +1,101 @@
+package control
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/fireflychute/fireflychute/pkg/message"
+	"github.com/fireflychute/fireflychute/pkg/outcome"
+)
+
+// report sends what this node counted since its last report to the controller.
+// A report that is lost is lost evidence on both versions alike.
+func (c *Controller) report(now time.Time) {
+	if c.set == nil {
+		return
+	}
+	report := c.nodeReport()
+	if c.duty.epoch > 0 {
+		c.takeReport(now, report)
+		return
+	}
+	address := c.controllerAddress()
+	if address != "" {
+		c.options.Peers.Send(address, message.Message{NodeReport: &report})
+	}
+}
+
+func (c *Controller) nodeReport() message.NodeReport {
+	c.reports++
+	report := message.NodeReport{
+		Node: c.options.Self.Name, Incarnation: c.options.Self.Incarnation, Sequence: c.reports, Revision: c.revision(),
+	}
+	for key, counts := range c.rollouts.unreported {
+		report.Counts = append(report.Counts, message.RolloutCount{
+			Rollout: key.rollout.name, Generation: key.rollout.generation, Route: key.route, Version: key.version,
+			Requests: uint64(counts.Requests), Failures: uint64(counts.Failures), Histogram: encodeHistogram(counts.Histogram),
+		})
+	}
+	clear(c.rollouts.unreported)
+	for name, load := range c.dataCentreLoads() {
+		report.DataCentres = append(report.DataCentres, message.DataCentreLoad{Name: name, InFlight: load.inFlight, Sent: load.sent})
+	}
+	return report
+}
+
+func encodeHistogram(histogram *hdrhistogram.Histogram) []byte {
+	if histogram == nil {
+		return nil
+	}
+	encoded, err := histogram.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
+	if err != nil {
+		return nil
+	}
+	return encoded
+}
+
+func decodeHistogram(encoded []byte) *hdrhistogram.Histogram {
+	if len(encoded) == 0 {
+		return nil
+	}
+	histogram, err := hdrhistogram.Decode(encoded)
+	if err != nil {
+		return nil
+	}
+	return histogram
+}
+
+// controllerAddress returns the peer address of the controller, or "".
+func (c *Controller) controllerAddress() string {
+	fact, ok := c.members.Fact(prefixLease + leaseController)
+	if !ok {
+		return ""
+	}
+	for _, member := range c.members.Members() {
+		if member.Name == string(fact.Value) {
+			return member.Address
+		}
+	}
+	return ""
+}
+
+// takeReport collects a node's report while this node is the controller.
+func (c *Controller) takeReport(now time.Time, report message.NodeReport) {
+	if c.duty.epoch == 0 || c.moves.repeated(report) {
+		return
+	}
+	for _, count := range report.Counts {
+		key := countKey{rolloutKey{count.Rollout, count.Generation}, count.Route, count.Version}
+		add(c.rollouts.collected, key, outcome.Counts{
+			Requests: int(count.Requests), Failures: int(count.Failures), Histogram: decodeHistogram(count.Histogram),
+		})
+	}
+	loads := map[string]dataCentreLoad{}
+	for _, load := range report.DataCentres {
+		loads[load.Name] = dataCentreLoad{inFlight: load.InFlight, sent: load.Sent}
+	}
+	c.moves.take(report.Node, nodeLoad{
+		at: now, revision: report.Revision, incarnation: report.Incarnation, sequence: report.Sequence, loads: loads,
+	}, c.revision())
+}
--- /dev/null
+++ b/pkg/control/rollouts.go
@@ -0,0 +1,302 @@
+package control
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/judge"
+	"github.com/fireflychute/fireflychute/pkg/membership"
+	"github.com/fireflychute/fireflychute/pkg/outcome"
+	"github.com/fireflychute/fireflychute/pkg/platform"
+	"github.com/fireflychute/fireflychute/pkg/rollout"
+)
+
+// rolloutKey names a rollout under one generation of its declaration.
+type rolloutKey struct {
+	name       string
+	generation int
+}
+
+func (k rolloutKey) fact(prefix string) string {
+	return prefix + k.name + "/" + strconv.Itoa(k.generation)
+}
+
+// countKey names the counts of one route and version.
+type countKey struct {
+	rollout rolloutKey
+	route   string
+	version string
+}
+
+// rollouts is the evidence on the active rollouts.
+type rollouts struct {
+	recorders map[countKey]*outcome.Recorder
+	// local judges by what this node saw, fleet by what all nodes reported.
+	local map[rolloutKey]*judge.Judge
+	fleet map[rolloutKey]*judge.Judge
+	// unreported is what this node counted since its last report.
+	unreported map[countKey]*outcome.Counts
+	// collected is what the controller was told since its last step.
+	collected map[countKey]*outcome.Counts
+}
+
+func newRollouts() rollouts {
+	return rollouts{
+		recorders:  map[countKey]*outcome.Recorder{},
+		local:      map[rolloutKey]*judge.Judge{},
+		fleet:      map[rolloutKey]*judge.Judge{},
+		unreported: map[countKey]*outcome.Counts{},
+		collected:  map[countKey]*outcome.Counts{},
+	}
+}
+
+// shareFact is the value of a fact with the prefix prefixRollout.
+type shareFact struct {
+	Share float64 `json:"share"`
+	Phase string  `json:"phase"`
+}
+
+// blockFact is the value of a fact with the prefix prefixBlock.
+type blockFact struct {
+	Node   string `json:"node"`
+	Reason string `json:"reason"`
+}
+
+// rolloutOf returns the rollout of a service, if one is declared.
+func (c *Controller) rolloutOf(service string) (rolloutKey, api.RolloutSpec, bool) {
+	for name, spec := range c.set.Rollouts {
+		if spec.Service == service {
+			return rolloutKey{name, c.set.Generations[api.KindRollout+"/"+name]}, spec, true
+		}
+	}
+	return rolloutKey{}, api.RolloutSpec{}, false
+}
+
+// newShare returns the part of a service's traffic that the new version gets.
+// Without a word of the controller it is 0.
+func (c *Controller) newShare(key rolloutKey, spec api.RolloutSpec) float64 {
+	if spec.State == api.RolloutStateRolledBack || c.blocked(key) {
+		return 0
+	}
+	fact, ok := c.members.Fact(key.fact(prefixRollout))
+	if !ok {
+		return 0
+	}
+	var value shareFact
+	err := json.Unmarshal(fact.Value, &value)
+	if err != nil {
+		return 0
+	}
+	return value.Share / 100
+}
+
+// blocked tells that a node or the controller took the version back.
+func (c *Controller) blocked(key rolloutKey) bool {
+	_, ok := c.members.Fact(key.fact(prefixBlock))
+	return ok
+}
+
+// recorder returns the recorder of one route and version; it lives as long as
+// the rollout's generation.
+func (c *Controller) recorder(key countKey) *outcome.Recorder {
+	recorder := c.rollouts.recorders[key]
+	if recorder == nil {
+		recorder = &outcome.Recorder{}
+		c.rollouts.recorders[key] = recorder
+	}
+	return recorder
+}
+
+// routesOf returns the names of the routes to a service.
+func (c *Controller) routesOf(service string) []string {
+	names := []string{}
+	for name, spec := range c.set.Routes {
+		if spec.Service == service {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// judgeLocally compares the versions by what this node saw in the last period and
+// stops sending to a bad one without waiting for the controller.
+func (c *Controller) judgeLocally(now time.Time) {
+	if c.set == nil {
+		return
+	}
+	for name, spec := range c.set.Rollouts {
+		key := rolloutKey{name, c.set.Generations[api.KindRollout+"/"+name]}
+		local := c.localJudge(now, key, spec)
+		for _, route := range c.routesOf(spec.Service) {
+			before := c.takeCounts(countKey{key, route, spec.From})
+			after := c.takeCounts(countKey{key, route, spec.To})
+			local.Observe(route, before, after)
+		}
+		bad, evidence := local.Verdict()
+		if bad && !c.blocked(key) {
+			c.counters.blocks.Add(1)
+			c.block(now, key, describeEvidence(evidence))
+		}
+	}
+	c.dropOldRollouts()
+}
+
+// localJudge returns the judge of this node. Half of the error rate goes to the
+// controller, the other half is divided over the nodes.
+func (c *Controller) localJudge(now time.Time, key rolloutKey, spec api.RolloutSpec) *judge.Judge {
+	local := c.rollouts.local[key]
+	if local == nil {
+		alpha := judge.Alpha / 2 / float64(len(c.members.Counted(now)))
+		local = judge.New(alpha, c.routesOf(spec.Service))
+		c.rollouts.local[key] = local
+	}
+	return local
+}
+
+func (c *Controller) takeCounts(key countKey) outcome.Counts {
+	counts := c.recorder(key).Take()
+	add(c.rollouts.unreported, key, counts)
+	return counts
+}
+
+func add(to map[countKey]*outcome.Counts, key countKey, counts outcome.Counts) {
+	if counts.Requests == 0 {
+		return
+	}
+	sum := to[key]
+	if sum == nil {
+		sum = &outcome.Counts{}
+		to[key] = sum
+	}
+	sum.Merge(counts)
+}
+
+// block makes all nodes stop sending to the new version of a rollout. The fact
+// stays until a new generation is declared.
+func (c *Controller) block(now time.Time, key rolloutKey, reason string) {
+	value, err := json.Marshal(blockFact{Node: c.options.Self.Name, Reason: reason})
+	if err != nil {
+		return
+	}
+	c.options.Log.Warn().Str("rollout", key.name).Int("generation", key.generation).Str("reason", reason).Msg("version blocked")
+	c.dirty = true
+	c.share(now, membership.Fact{Key: key.fact(prefixBlock), Epoch: firstFactNumber, Version: firstFactNumber, Value: value})
+}
+
+// judgeFleet compares the versions by what all nodes reported since the last step.
+func (c *Controller) judgeFleet(time.Time) {
+	for name, spec := range c.set.Rollouts {
+		key := rolloutKey{name, c.set.Generations[api.KindRollout+"/"+name]}
+		fleet := c.fleetJudge(key, spec)
+		for _, route := range c.routesOf(spec.Service) {
+			fleet.Observe(route, c.collected(countKey{key, route, spec.From}), c.collected(countKey{key, route, spec.To}))
+		}
+	}
+	clear(c.rollouts.collected)
+}
+
+func (c *Controller) fleetJudge(key rolloutKey, spec api.RolloutSpec) *judge.Judge {
+	fleet := c.rollouts.fleet[key]
+	if fleet == nil {
+		fleet = judge.New(judge.Alpha/2, c.routesOf(spec.Service))
+		c.rollouts.fleet[key] = fleet
+	}
+	return fleet
+}
+
+func (c *Controller) collected(key countKey) outcome.Counts {
+	counts := c.rollouts.collected[key]
+	if counts == nil {
+		return outcome.Counts{}
+	}
+	return *counts
+}
+
+// stepRollouts computes the next status of each rollout and stores what changed.
+// A lower share and a block take effect before they are stored, a raise after.
+func (c *Controller) stepRollouts(now time.Time) {
+	for name, spec := range c.set.Rollouts {
+		key := rolloutKey{name, c.set.Generations[api.KindRollout+"/"+name]}
+		entry := c.duty.rollouts[name]
+		if entry == nil {
+			entry = &stored[api.RolloutStatus]{}
+			c.duty.rollouts[name] = entry
+		}
+		if entry.busy {
+			continue
+		}
+		bad, evidence := c.fleetJudge(key, spec).Verdict()
+		observed := rollout.Observed{
+			Bad: bad, Evidence: evidence, Exposure: c.fleetJudge(key, spec).Exposure(), Blocked: c.blocked(key),
+		}
+		next, changed := rollout.Next(now, c.options.Self.Name, int(c.duty.epoch), spec, key.generation, entry.status, observed)
+		if !changed {
+			continue
+		}
+		c.storeRollout(now, key, entry, next)
+	}
+}
+
+func (c *Controller) storeRollout(now time.Time, key rolloutKey, entry *stored[api.RolloutStatus], next api.RolloutStatus) {
+	if next.Blocked && !c.blocked(key) {
+		c.block(now, key, lastReason(next))
+	}
+	if next.Phase != entry.status.Phase || next.SharePercent != entry.status.SharePercent {
+		c.options.Log.Info().Str("rollout", key.name).Str("phase", string(next.Phase)).Float64("sharePercent", next.SharePercent).
+			Str("reason", lastReason(next)).Msg("rollout step")
+	}
+	next.Operation = operation()
+	writeStatus(c, platform.KindRolloutStatus, key.name, entry, next, func(now time.Time) {
+		c.announceRollout(now, key.name, entry)
+	})
+}
+
+// announceRollouts publishes the stored shares under the epoch of this holder.
+func (c *Controller) announceRollouts(now time.Time) {
+	for name, entry := range c.duty.rollouts {
+		if c.set.Generations[api.KindRollout+"/"+name] != entry.status.Generation {
+			continue
+		}
+		if entry.status.Blocked && !c.blocked(rolloutKey{name, entry.status.Generation}) {
+			c.block(now, rolloutKey{name, entry.status.Generation}, lastReason(entry.status))
+		}
+		c.announceRollout(now, name, entry)
+	}
+}
+
+func (c *Controller) announceRollout(now time.Time, name string, entry *stored[api.RolloutStatus]) {
+	value, err := json.Marshal(shareFact{Share: entry.status.SharePercent, Phase: string(entry.status.Phase)})
+	if err != nil {
+		return
+	}
+	c.dirty = true
+	key := rolloutKey{name, entry.status.Generation}
+	c.share(now, membership.Fact{Key: key.fact(prefixRollout), Epoch: c.duty.epoch, Version: entry.version, Value: value})
+}
+
+// dropOldRollouts forgets the evidence of generations that are no longer declared.
+func (c *Controller) dropOldRollouts() {
+	old := func(key rolloutKey) bool {
+		_, declared := c.set.Rollouts[key.name]
+		return !declared || c.set.Generations[api.KindRollout+"/"+key.name] != key.generation
+	}
+	for key := range c.rollouts.recorders {
+		if old(key.rollout) {
+			delete(c.rollouts.recorders, key)
+			delete(c.rollouts.unreported, key)
+			delete(c.rollouts.collected, key)
+		}
+	}
+	for key := range c.rollouts.local {
+		if old(key) {
+			delete(c.rollouts.local, key)
+		}
+	}
+	for key := range c.rollouts.fleet {
+		if old(key) {
+			delete(c.rollouts.fleet, key)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/control/view.go
@@ -0,0 +1,160 @@
+package control
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/datacentre"
+	"github.com/fireflychute/fireflychute/pkg/operator"
+	"github.com/fireflychute/fireflychute/pkg/target"
+)
+
+// loadMemory is the part of a service's peak load that is kept at each view, so
+// that a capacity check sees the load of the last minutes and not one moment.
+const loadMemory = 0.995
+
+// view is what operators see of the control state. A new one is published when
+// the state changes; the change channel passes from one to the next.
+type view struct {
+	configuration operator.Configuration
+	nodes         []api.NodeStatus
+	readiness     operator.Readiness
+	entries       []target.Entry
+	units         map[string]int
+	loads         map[string]datacentre.ServiceLoad
+	changes       *changes
+}
+
+// changes tells waiting operators that something changed.
+type changes struct {
+	mu            sync.Mutex
+	changed       chan struct{}
+	statusVersion uint64
+}
+
+func newView() *view {
+	return &view{
+		readiness: operator.Readiness{Reason: "no configuration"},
+		changes:   &changes{changed: make(chan struct{})},
+	}
+}
+
+func (v *view) statusChanged() {
+	v.changes.mu.Lock()
+	defer v.changes.mu.Unlock()
+	v.changes.statusVersion++
+	v.changes.wake()
+}
+
+// wake is called with the lock held.
+func (c *changes) wake() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+func (c *changes) notify() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wake()
+}
+
+// publishView publishes what operators see.
+func (c *Controller) publishView(now time.Time) {
+	old := c.view.Load()
+	entries := c.registry.Entries()
+	next := &view{
+		configuration: c.operatorConfiguration(),
+		nodes:         c.nodeStatuses(),
+		readiness:     c.readiness(),
+		entries:       entries,
+		units:         c.unitsOf(entries),
+		loads:         serviceLoads(old.loads, entries),
+		changes:       old.changes,
+	}
+	c.view.Store(next)
+	if next.configuration.Revision != old.configuration.Revision {
+		next.changes.notify()
+	}
+}
+
+func (c *Controller) unitsOf(entries []target.Entry) map[string]int {
+	units := map[string]int{}
+	for _, entry := range entries {
+		units[entry.Address] = c.units(entry)
+	}
+	return units
+}
+
+// readiness tells the platform's balancer whether this node takes new calls.
+func (c *Controller) readiness() operator.Readiness {
+	switch {
+	case c.set == nil:
+		return operator.Readiness{Reason: "no configuration"}
+	case !c.joined:
+		return operator.Readiness{Reason: "not joined: other nodes do not count this node yet"}
+	case c.current != nil && c.current.Isolated:
+		return operator.Readiness{Reason: "isolated: neither the platform nor a peer responds"}
+	case c.set.DataCentres[c.options.Self.DataCentre].State == api.DataCentreStateOut:
+		return operator.Readiness{Reason: "data centre is out"}
+	default:
+		return operator.Readiness{Ready: true}
+	}
+}
+
+// serviceLoads estimates the requests in flight of each service over all nodes
+// from the targets' load reports. Targets without a report count as the mean.
+func serviceLoads(old map[string]datacentre.ServiceLoad, entries []target.Entry) map[string]datacentre.ServiceLoad {
+	type sum struct{ inFlight, reported, targets float64 }
+	sums := map[string]sum{}
+	loads := map[string]datacentre.ServiceLoad{}
+	for _, entry := range entries {
+		if entry.Leaving {
+			continue
+		}
+		load, ok := loads[entry.Service]
+		if !ok {
+			load = datacentre.ServiceLoad{Targets: map[string]int{}}
+		}
+		load.Targets[entry.DataCentre]++
+		loads[entry.Service] = load
+		s := sums[entry.Service]
+		s.targets++
+		if report := entry.Counters.LastReport.Load(); report != nil {
+			s.reported++
+			s.inFlight += float64(report.InFlight)
+		}
+		sums[entry.Service] = s
+	}
+	for service, load := range loads {
+		s := sums[service]
+		if s.reported > 0 {
+			load.InFlight = s.inFlight / s.reported * s.targets
+		}
+		load.InFlight = max(load.InFlight, old[service].InFlight*loadMemory)
+		loads[service] = load
+	}
+	return loads
+}
+
+// operatorConfiguration returns the configuration with the raw specs. It is built
+// again only when the revision changed.
+func (c *Controller) operatorConfiguration() operator.Configuration {
+	old := c.view.Load().configuration
+	if c.set == nil || old.Revision == c.set.Revision {
+		return old
+	}
+	whole := c.config.Delta(0)
+	result := operator.Configuration{
+		Revision: whole.Revision,
+		Manifest: api.Manifest{Entries: api.ManifestEntries{}, Operations: whole.Operations},
+		Blobs:    map[string][]byte{},
+	}
+	for _, entry := range whole.Entries {
+		result.Manifest.Entries[entry.Key] = api.ManifestEntry{Digest: entry.Digest, Generation: entry.Generation}
+	}
+	for _, blob := range whole.Blobs {
+		result.Blobs[blob.Digest] = blob.Value
+	}
+	return result
+}
--- a/pkg/message/codec_gen.go
+++ b/pkg/message/codec_gen.go
@@ -727,6 +727,80 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z DataCentreLoad) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "inFlight"
+	o = append(o, 0x83, 0xa8, 0x69, 0x6e, 0x46, 0x6c, 0x69, 0x67, 0x68, 0x74)
+	o = msgp.AppendInt(o, z.InFlight)
+	// string "name"
+	o = append(o, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	o = msgp.AppendString(o, z.Name)
+	// string "sent"
+	o = append(o, 0xa4, 0x73, 0x65, 0x6e, 0x74)
+	o = msgp.AppendUint64(o, z.Sent)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *DataCentreLoad) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "inFlight":
+			z.InFlight, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "InFlight")
+				return
+			}
+		case "name":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "sent":
+			z.Sent, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sent")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z DataCentreLoad) Msgsize() (s int) {
+	s = 1 + 9 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Name) + 5 + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Fact) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1089,8 +1163,8 @@
 func (z *Message) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(11)
-	var zb0001Mask uint16 /* 11 bits */
+	zb0001Len := uint32(13)
+	var zb0001Mask uint16 /* 13 bits */
 	_ = zb0001Mask
 	if z.Ack == nil {
 		zb0001Len--
@@ -1104,15 +1178,15 @@
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
-	if z.Ping == nil {
+	if z.NodeReport == nil {
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
-	if z.PingRequest == nil {
+	if z.Ping == nil {
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
-	if z.RolloutReport == nil {
+	if z.PingRequest == nil {
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
@@ -1124,6 +1198,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
+	if z.VmAnswer == nil {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
+	if z.VmFetch == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1177,6 +1259,19 @@
 		o = append(o, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
 		o = msgp.AppendString(o, z.From)
 		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "nodeReport"
+			o = append(o, 0xaa, 0x6e, 0x6f, 0x64, 0x65, 0x52, 0x65, 0x70, 0x6f, 0x72, 0x74)
+			if z.NodeReport == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.NodeReport.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "NodeReport")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// string "ping"
 			o = append(o, 0xa4, 0x70, 0x69, 0x6e, 0x67)
 			if z.Ping == nil {
@@ -1189,7 +1284,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
 			// string "pingRequest"
 			o = append(o, 0xab, 0x70, 0x69, 0x6e, 0x67, 0x52, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
 			if z.PingRequest == nil {
@@ -1202,19 +1297,6 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
-			// string "rolloutReport"
-			o = append(o, 0xad, 0x72, 0x6f, 0x6c, 0x6c, 0x6f, 0x75, 0x74, 0x52, 0x65, 0x70, 0x6f, 0x72, 0x74)
-			if z.RolloutReport == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				o, err = z.RolloutReport.MarshalMsg(o)
-				if err != nil {
-					err = msgp.WrapError(err, "RolloutReport")
-					return
-				}
-			}
-		}
 		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// string "syncReply"
 			o = append(o, 0xa9, 0x73, 0x79, 0x6e, 0x63, 0x52, 0x65, 0x70, 0x6c, 0x79)
@@ -1241,6 +1323,30 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "vmAnswer"
+			o = append(o, 0xa8, 0x76, 0x6d, 0x41, 0x6e, 0x73, 0x77, 0x65, 0x72)
+			if z.VmAnswer == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				// map header, size 1
+				// string "list"
+				o = append(o, 0x81, 0xa4, 0x6c, 0x69, 0x73, 0x74)
+				o = msgp.AppendBytes(o, z.VmAnswer.List)
+			}
+		}
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// string "vmFetch"
+			o = append(o, 0xa7, 0x76, 0x6d, 0x46, 0x65, 0x74, 0x63, 0x68)
+			if z.VmFetch == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				// map header, size 1
+				// string "have"
+				o = append(o, 0x81, 0xa4, 0x68, 0x61, 0x76, 0x65)
+				o = msgp.AppendUint64(o, z.VmFetch.Have)
+			}
+		}
 	}
 	return
 }
@@ -1363,6 +1469,23 @@
 				err = msgp.WrapError(err, "From")
 				return
 			}
+		case "nodeReport":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.NodeReport = nil
+			} else {
+				if z.NodeReport == nil {
+					z.NodeReport = new(NodeReport)
+				}
+				bts, err = z.NodeReport.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "NodeReport")
+					return
+				}
+			}
 		case "ping":
 			if msgp.IsNil(bts) {
 				bts, err = msgp.ReadNilBytes(bts)
@@ -1397,23 +1520,6 @@
 					return
 				}
 			}
-		case "rolloutReport":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.RolloutReport = nil
-			} else {
-				if z.RolloutReport == nil {
-					z.RolloutReport = new(RolloutReport)
-				}
-				bts, err = z.RolloutReport.UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "RolloutReport")
-					return
-				}
-			}
 		case "syncReply":
 			if msgp.IsNil(bts) {
 				bts, err = msgp.ReadNilBytes(bts)
@@ -1448,6 +1554,110 @@
 					return
 				}
 			}
+		case "vmAnswer":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.VmAnswer = nil
+			} else {
+				if z.VmAnswer == nil {
+					z.VmAnswer = new(VmAnswer)
+				}
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "VmAnswer")
+					return
+				}
+				if zb0003 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "VmAnswer")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "list":
+						var zb0004 uint32
+						zb0004, bts, err = msgp.ReadBytesHeader(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "VmAnswer", "List")
+							return
+						}
+						if zb0004 > zf88ce922limitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if z.VmAnswer.List == nil || uint32(cap(z.VmAnswer.List)) < zb0004 {
+							z.VmAnswer.List = make([]byte, zb0004)
+						} else {
+							z.VmAnswer.List = z.VmAnswer.List[:zb0004]
+						}
+						if uint32(len(bts)) < zb0004 {
+							err = msgp.ErrShortBytes
+							return
+						}
+						copy(z.VmAnswer.List, bts[:zb0004])
+						bts = bts[zb0004:]
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "VmAnswer")
+							return
+						}
+					}
+				}
+			}
+		case "vmFetch":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.VmFetch = nil
+			} else {
+				if z.VmFetch == nil {
+					z.VmFetch = new(VmFetch)
+				}
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "VmFetch")
+					return
+				}
+				if zb0005 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0005 > 0 {
+					zb0005--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "VmFetch")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "have":
+						z.VmFetch.Have, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "VmFetch", "Have")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "VmFetch")
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1480,7 +1690,13 @@
 	} else {
 		s += 1 + 5 + msgp.Uint64Size
 	}
-	s += 5 + msgp.StringPrefixSize + len(z.From) + 5
+	s += 5 + msgp.StringPrefixSize + len(z.From) + 11
+	if z.NodeReport == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.NodeReport.Msgsize()
+	}
+	s += 5
 	if z.Ping == nil {
 		s += msgp.NilSize
 	} else {
@@ -1492,12 +1708,6 @@
 	} else {
 		s += z.PingRequest.Msgsize()
 	}
-	s += 14
-	if z.RolloutReport == nil {
-		s += msgp.NilSize
-	} else {
-		s += z.RolloutReport.Msgsize()
-	}
 	s += 10
 	if z.SyncReply == nil {
 		s += msgp.NilSize
@@ -1510,50 +1720,67 @@
 	} else {
 		s += z.SyncRequest.Msgsize()
 	}
+	s += 9
+	if z.VmAnswer == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 5 + msgp.BytesPrefixSize + len(z.VmAnswer.List)
+	}
+	s += 8
+	if z.VmFetch == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 5 + msgp.Uint64Size
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Ping) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *NodeReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(3)
-	var zb0001Mask uint8 /* 3 bits */
-	_ = zb0001Mask
-	if z.Gossip == nil {
-		zb0001Len--
-		zb0001Mask |= 0x1
-	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		if (zb0001Mask & 0x1) == 0 { // if not omitted
-			// string "gossip"
-			o = append(o, 0xa6, 0x67, 0x6f, 0x73, 0x73, 0x69, 0x70)
-			if z.Gossip == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				o, err = z.Gossip.MarshalMsg(o)
-				if err != nil {
-					err = msgp.WrapError(err, "Gossip")
-					return
-				}
-			}
+	// map header, size 6
+	// string "counts"
+	o = append(o, 0x86, 0xa6, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Counts)))
+	for za0001 := range z.Counts {
+		o, err = z.Counts[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Counts", za0001)
+			return
 		}
-		// string "sequence"
-		o = append(o, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
-		o = msgp.AppendUint64(o, z.Sequence)
-		// string "target"
-		o = append(o, 0xa6, 0x74, 0x61, 0x72, 0x67, 0x65, 0x74)
-		o = msgp.AppendString(o, z.Target)
 	}
+	// string "dataCentres"
+	o = append(o, 0xab, 0x64, 0x61, 0x74, 0x61, 0x43, 0x65, 0x6e, 0x74, 0x72, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.DataCentres)))
+	for za0002 := range z.DataCentres {
+		// map header, size 3
+		// string "inFlight"
+		o = append(o, 0x83, 0xa8, 0x69, 0x6e, 0x46, 0x6c, 0x69, 0x67, 0x68, 0x74)
+		o = msgp.AppendInt(o, z.DataCentres[za0002].InFlight)
+		// string "name"
+		o = append(o, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+		o = msgp.AppendString(o, z.DataCentres[za0002].Name)
+		// string "sent"
+		o = append(o, 0xa4, 0x73, 0x65, 0x6e, 0x74)
+		o = msgp.AppendUint64(o, z.DataCentres[za0002].Sent)
+	}
+	// string "incarnation"
+	o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.Incarnation)
+	// string "node"
+	o = append(o, 0xa4, 0x6e, 0x6f, 0x64, 0x65)
+	o = msgp.AppendString(o, z.Node)
+	// string "revision"
+	o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.Revision)
+	// string "sequence"
+	o = append(o, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
+	o = msgp.AppendUint64(o, z.Sequence)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Ping) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *NodeReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1574,8 +1801,204 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "gossip":
-			if msgp.IsNil(bts) {
+		case "counts":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Counts")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Counts) >= int(zb0002) {
+				z.Counts = (z.Counts)[:zb0002]
+			} else {
+				z.Counts = make([]RolloutCount, zb0002)
+			}
+			for za0001 := range z.Counts {
+				bts, err = z.Counts[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Counts", za0001)
+					return
+				}
+			}
+		case "dataCentres":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DataCentres")
+				return
+			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.DataCentres) >= int(zb0003) {
+				z.DataCentres = (z.DataCentres)[:zb0003]
+			} else {
+				z.DataCentres = make([]DataCentreLoad, zb0003)
+			}
+			for za0002 := range z.DataCentres {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "DataCentres", za0002)
+					return
+				}
+				if zb0004 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "DataCentres", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "inFlight":
+						z.DataCentres[za0002].InFlight, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "DataCentres", za0002, "InFlight")
+							return
+						}
+					case "name":
+						z.DataCentres[za0002].Name, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "DataCentres", za0002, "Name")
+							return
+						}
+					case "sent":
+						z.DataCentres[za0002].Sent, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "DataCentres", za0002, "Sent")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "DataCentres", za0002)
+							return
+						}
+					}
+				}
+			}
+		case "incarnation":
+			z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Incarnation")
+				return
+			}
+		case "node":
+			z.Node, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Node")
+				return
+			}
+		case "revision":
+			z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Revision")
+				return
+			}
+		case "sequence":
+			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sequence")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *NodeReport) Msgsize() (s int) {
+	s = 1 + 7 + msgp.ArrayHeaderSize
+	for za0001 := range z.Counts {
+		s += z.Counts[za0001].Msgsize()
+	}
+	s += 12 + msgp.ArrayHeaderSize
+	for za0002 := range z.DataCentres {
+		s += 1 + 9 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.DataCentres[za0002].Name) + 5 + msgp.Uint64Size
+	}
+	s += 12 + msgp.Uint64Size + 5 + msgp.StringPrefixSize + len(z.Node) + 9 + msgp.Uint64Size + 9 + msgp.Uint64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Ping) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Gossip == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "gossip"
+			o = append(o, 0xa6, 0x67, 0x6f, 0x73, 0x73, 0x69, 0x70)
+			if z.Gossip == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Gossip.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Gossip")
+					return
+				}
+			}
+		}
+		// string "sequence"
+		o = append(o, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
+		o = msgp.AppendUint64(o, z.Sequence)
+		// string "target"
+		o = append(o, 0xa6, 0x74, 0x61, 0x72, 0x67, 0x65, 0x74)
+		o = msgp.AppendString(o, z.Target)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Ping) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "gossip":
+			if msgp.IsNil(bts) {
 				bts, err = msgp.ReadNilBytes(bts)
 				if err != nil {
 					return
@@ -1753,9 +2176,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RolloutCount) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 7
 	// string "failures"
-	o = append(o, 0x88, 0xa8, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x73)
+	o = append(o, 0x87, 0xa8, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x73)
 	o = msgp.AppendUint64(o, z.Failures)
 	// string "generation"
 	o = append(o, 0xaa, 0x67, 0x65, 0x6e, 0x65, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
@@ -1772,9 +2195,6 @@
 	// string "route"
 	o = append(o, 0xa5, 0x72, 0x6f, 0x75, 0x74, 0x65)
 	o = msgp.AppendString(o, z.Route)
-	// string "slow"
-	o = append(o, 0xa4, 0x73, 0x6c, 0x6f, 0x77)
-	o = msgp.AppendUint64(o, z.Slow)
 	// string "version"
 	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendString(o, z.Version)
@@ -1855,12 +2275,6 @@
 				err = msgp.WrapError(err, "Route")
 				return
 			}
-		case "slow":
-			z.Slow, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Slow")
-				return
-			}
 		case "version":
 			z.Version, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -1881,118 +2295,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RolloutCount) Msgsize() (s int) {
-	s = 1 + 9 + msgp.Uint64Size + 11 + msgp.IntSize + 10 + msgp.BytesPrefixSize + len(z.Histogram) + 9 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Rollout) + 6 + msgp.StringPrefixSize + len(z.Route) + 5 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Version)
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *RolloutReport) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "counts"
-	o = append(o, 0x84, 0xa6, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Counts)))
-	for za0001 := range z.Counts {
-		o, err = z.Counts[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Counts", za0001)
-			return
-		}
-	}
-	// string "incarnation"
-	o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.Incarnation)
-	// string "node"
-	o = append(o, 0xa4, 0x6e, 0x6f, 0x64, 0x65)
-	o = msgp.AppendString(o, z.Node)
-	// string "sequence"
-	o = append(o, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
-	o = msgp.AppendUint64(o, z.Sequence)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *RolloutReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > zf88ce922limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "counts":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Counts")
-				return
-			}
-			if zb0002 > zf88ce922limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Counts) >= int(zb0002) {
-				z.Counts = (z.Counts)[:zb0002]
-			} else {
-				z.Counts = make([]RolloutCount, zb0002)
-			}
-			for za0001 := range z.Counts {
-				bts, err = z.Counts[za0001].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Counts", za0001)
-					return
-				}
-			}
-		case "incarnation":
-			z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Incarnation")
-				return
-			}
-		case "node":
-			z.Node, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Node")
-				return
-			}
-		case "sequence":
-			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Sequence")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *RolloutReport) Msgsize() (s int) {
-	s = 1 + 7 + msgp.ArrayHeaderSize
-	for za0001 := range z.Counts {
-		s += z.Counts[za0001].Msgsize()
-	}
-	s += 12 + msgp.Uint64Size + 5 + msgp.StringPrefixSize + len(z.Node) + 9 + msgp.Uint64Size
+	s = 1 + 9 + msgp.Uint64Size + 11 + msgp.IntSize + 10 + msgp.BytesPrefixSize + len(z.Histogram) + 9 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Rollout) + 6 + msgp.StringPrefixSize + len(z.Route) + 8 + msgp.StringPrefixSize + len(z.Version)
 	return
 }
 
@@ -2318,3 +2621,131 @@
 	s = 1 + 6 + msgp.ArrayHeaderSize + (len(z.Facts) * (msgp.Uint64Size)) + 8 + msgp.ArrayHeaderSize + (len(z.Members) * (msgp.Uint64Size)) + 9 + msgp.Uint64Size
 	return
 }
+
+// MarshalMsg implements msgp.Marshaler
+func (z *VmAnswer) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "list"
+	o = append(o, 0x81, 0xa4, 0x6c, 0x69, 0x73, 0x74)
+	o = msgp.AppendBytes(o, z.List)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *VmAnswer) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "list":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "List")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.List == nil || uint32(cap(z.List)) < zb0002 {
+				z.List = make([]byte, zb0002)
+			} else {
+				z.List = z.List[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.List, bts[:zb0002])
+			bts = bts[zb0002:]
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *VmAnswer) Msgsize() (s int) {
+	s = 1 + 5 + msgp.BytesPrefixSize + len(z.List)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z VmFetch) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "have"
+	o = append(o, 0x81, 0xa4, 0x68, 0x61, 0x76, 0x65)
+	o = msgp.AppendUint64(o, z.Have)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *VmFetch) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "have":
+			z.Have, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Have")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z VmFetch) Msgsize() (s int) {
+	s = 1 + 5 + msgp.Uint64Size
+	return
+}
--- a/pkg/message/types_gen.go
+++ b/pkg/message/types_gen.go
@@ -77,6 +77,18 @@
 	Have uint64 `msg:"have"`
 }
 
+// One node's requests at the targets of a data centre that is out.
+type DataCentreLoad struct {
+	// Requests in flight.
+	InFlight int `msg:"inFlight"`
+
+	// Name of the data centre.
+	Name string `msg:"name"`
+
+	// Requests sent since the node started.
+	Sent uint64 `msg:"sent"`
+}
+
 // A value by key; the higher (epoch, version) wins. Encoded as an array.
 type Fact struct {
 	// Compared first.
@@ -151,20 +163,48 @@
 	// Name of the sender.
 	From string `msg:"from"`
 
+	// NodeReport corresponds to the JSON schema field "nodeReport".
+	NodeReport *NodeReport `msg:"nodeReport,omitempty"`
+
 	// Ping corresponds to the JSON schema field "ping".
 	Ping *Ping `msg:"ping,omitempty"`
 
 	// PingRequest corresponds to the JSON schema field "pingRequest".
 	PingRequest *PingRequest `msg:"pingRequest,omitempty"`
 
-	// RolloutReport corresponds to the JSON schema field "rolloutReport".
-	RolloutReport *RolloutReport `msg:"rolloutReport,omitempty"`
-
 	// SyncReply corresponds to the JSON schema field "syncReply".
 	SyncReply *SyncReply `msg:"syncReply,omitempty"`
 
 	// SyncRequest corresponds to the JSON schema field "syncRequest".
 	SyncRequest *SyncRequest `msg:"syncRequest,omitempty"`
+
+	// VmAnswer corresponds to the JSON schema field "vmAnswer".
+	VmAnswer *VmAnswer `msg:"vmAnswer,omitempty"`
+
+	// VmFetch corresponds to the JSON schema field "vmFetch".
+	VmFetch *VmFetch `msg:"vmFetch,omitempty"`
+}
+
+// What a node tells the controller. Counts are of the time since its previous
+// report; a lost report is lost evidence.
+type NodeReport struct {
+	// Counts by rollout, route and version.
+	Counts []RolloutCount `msg:"counts"`
+
+	// Loads of the data centres that are out.
+	DataCentres []DataCentreLoad `msg:"dataCentres"`
+
+	// Its incarnation.
+	Incarnation uint64 `msg:"incarnation"`
+
+	// Name of the node.
+	Node string `msg:"node"`
+
+	// Configuration revision in force at the node.
+	Revision uint64 `msg:"revision"`
+
+	// Grows with each report; a repeated report is ignored.
+	Sequence uint64 `msg:"sequence"`
 }
 
 // Asks whether a node responds.
@@ -194,18 +234,18 @@
 	Target string `msg:"target"`
 }
 
-// Cumulative counts of one route and version.
+// Counts of one route and version since the previous report.
 type RolloutCount struct {
-	// Failed requests so far.
+	// Those that failed.
 	Failures uint64 `msg:"failures"`
 
 	// Its generation.
 	Generation int `msg:"generation"`
 
-	// Latency histogram so far, in the compressed encoding of HdrHistogram.
+	// Latencies, in the compressed encoding of HdrHistogram.
 	Histogram []byte `msg:"histogram"`
 
-	// Requests so far.
+	// Requests that ended.
 	Requests uint64 `msg:"requests"`
 
 	// Name of the rollout.
@@ -214,29 +254,10 @@
 	// Route.
 	Route string `msg:"route"`
 
-	// Slow requests so far.
-	Slow uint64 `msg:"slow"`
-
 	// Version.
 	Version string `msg:"version"`
 }
 
-// Cumulative counts of one node. A report replaces the previous one of the same
-// node and incarnation with a lower sequence.
-type RolloutReport struct {
-	// Counts by rollout, route and version.
-	Counts []RolloutCount `msg:"counts"`
-
-	// Its incarnation.
-	Incarnation uint64 `msg:"incarnation"`
-
-	// Name of the node.
-	Node string `msg:"node"`
-
-	// Grows with each report.
-	Sequence uint64 `msg:"sequence"`
-}
-
 // Entries of the buckets that differ, bounded in bytes.
 type SyncReply struct {
 	// The sender has joined the fleet since it started.
@@ -269,3 +290,15 @@
 	// Sequence of the request, repeated in the reply.
 	Sequence uint64 `msg:"sequence"`
 }
+
+// Answers with the list of VMs.
+type VmAnswer struct {
+	// The list in JSON.
+	List []byte `msg:"list"`
+}
+
+// Asks for the platform's list of VMs.
+type VmFetch struct {
+	// Version held.
+	Have uint64 `msg:"have"`
+}
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/recorder.go
@@ -1,18 +1,8 @@
-// Package outcome counts the requests of one route and version for the judgement
-// of a version.
 package outcome
 
 import (
 	"sync"
 	"time"
-
-	"github.com/HdrHistogram/hdrhistogram-go"
-)
-
-const (
-	minMicros = 1
-	maxMicros = 10 * 60 * 1000 * 1000 // longer requests count as this long
-	digits    = 2
 )
 
 // Recorder counts requests. The zero value is ready for use.
@@ -21,22 +11,27 @@
 	counts Counts
 }
 
-// Counts is what a Recorder counted. The histogram is in microseconds and nil
-// when there was no request.
-type Counts struct {
-	Requests, Failures int
-	Histogram          *hdrhistogram.Histogram
-}
-
-// Record counts a request.
+// Record counts a request. A longer latency than MaxLatencyMicros counts as that.
 func (r *Recorder) Record(latency time.Duration, failed bool) {
-	micros := min(max(latency.Microseconds(), minMicros), maxMicros)
+	micros := min(max(latency.Microseconds(), MinLatencyMicros), MaxLatencyMicros)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.counts.Histogram == nil {
-		r.counts.Histogram = hdrhistogram.New(minMicros, maxMicros, digits)
+		r.counts.Histogram = NewHistogram()
 	}
 	_ = r.counts.Histogram.RecordValue(micros) // cannot fail within the bounds
+	r.count(failed)
+}
+
+// RecordUntimed counts a request whose latency says nothing of the version,
+// because the target was cold.
+func (r *Recorder) RecordUntimed(failed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.count(failed)
+}
+
+func (r *Recorder) count(failed bool) {
 	r.counts.Requests++
 	if failed {
 		r.counts.Failures++
--- a/pkg/snapshot/snapshot.go
+++ b/pkg/snapshot/snapshot.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/outcome"
 	"github.com/fireflychute/fireflychute/pkg/target"
 )
 
@@ -29,6 +30,8 @@
 	WorkName string
 	Work     api.WorkKindSpec
 	Service  *Service
+	// Recorders count outcomes by version; empty without a rollout.
+	Recorders map[string]*outcome.Recorder
 }
 
 // Service is a service with the targets that may receive new work.
--- a/testbed/cmd/demo/main.go
+++ b/testbed/cmd/demo/main.go
@@ -106,12 +106,15 @@
 			return nil, err
 		}
 	}
+	for i := 1; i <= 2; i++ {
+		vms = append(vms, api.VM{Address: fmt.Sprintf("127.0.0.1:%d", 18200+i), Role: "node", DataCentre: "north", State: api.VMStateLive})
+	}
 	return vms, nil
 }
 
 func (f *fleet) startNode(i int, platformURL string) error {
 	text := fmt.Sprintf("[node]\nname = \"node-%d\"\ndataCentre = \"north\"\n[callers]\nlisten = \"127.0.0.1:%d\"\n"+
-		"[operators]\nlisten = \"127.0.0.1:%d\"\n[peers]\nlisten = \"127.0.0.1:%d\"\n[platform]\nurl = %q\n",
+		"[operators]\nlisten = \"127.0.0.1:%d\"\n[peers]\nlisten = \"127.0.0.1:%d\"\nseeds = [\"127.0.0.1:18201\", \"127.0.0.1:18202\"]\n[platform]\nurl = %q\n",
 		i, 18000+i, 18100+i, 18200+i, platformURL)
 	path := filepath.Join(f.dir, fmt.Sprintf("node-%d.toml", i))
 	err := os.WriteFile(path, []byte(text), 0o600)
