--- a/pkg/control/leases.go
+++ b/pkg/control/leases.go
@@ -226,3 +226,16 @@
 		c.share(time.Now(), membership.Fact{Key: prefixLease + name, Epoch: held.epoch, Version: firstFactNumber + 1})
 	}
 }
+
+// Watching tells whether this node watches the platform for the others. It may be
+// called from any goroutine.
+func (c *Controller) Watching() bool {
+	answer := make(chan bool, 1)
+	c.post(func(time.Time) { answer <- c.leases.watching })
+	select {
+	case watching := <-answer:
+		return watching
+	case <-c.ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/testbed/fleet/configuration_test.go
@@ -0,0 +1,201 @@
+package fleet_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/testbed/fleet"
+	"github.com/fireflychute/fireflychute/testbed/platform"
+)
+
+// Guards against a change that some node does not apply within the time that the
+// users gave, whatever single fault happens around the change.
+func TestConfigurationIsInForceEverywhere(t *testing.T) {
+	faults := map[string]func(f *fleet.Fleet){
+		"no fault":                 func(*fleet.Fleet) {},
+		"answer of a write lost":   func(f *fleet.Fleet) { f.Platform.SetFaults(platform.Faults{LoseAnswers: 2}) },
+		"platform slow":            func(f *fleet.Fleet) { f.Platform.SetFaults(platform.Faults{DelayMs: 400}) },
+		"watchers cut off":         cutOffWatchers,
+		"a third of the nodes cut": func(f *fleet.Fleet) { cutOffEach(f, 3) },
+		"a node killed":            func(f *fleet.Fleet) { f.Kill(f.Nodes[5]); f.Nodes = append(f.Nodes[:5:5], f.Nodes[6:]...) },
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			inFleet(t, 19, func(g *WithT, f *fleet.Fleet) {
+				time.Sleep(20 * time.Second) // the leases are held by now
+				fault(f)
+				code, result := f.Nodes[1].Apply(workKind(700))
+				g.Expect(code).To(Equal(200))
+				g.Expect(fleet.WaitUntil(inForceLimit, func() bool { return allAt(f, result.Revision) })).To(BeTrue())
+			})
+		})
+	}
+}
+
+// cutOffWatchers keeps the nodes that watch away from the platform, but not the
+// node that serves the operator.
+func cutOffWatchers(f *fleet.Fleet) {
+	for i, node := range f.Nodes {
+		if i != 1 && node.Controller.Watching() {
+			node.CutOff.Store(true)
+		}
+	}
+}
+
+func cutOffEach(f *fleet.Fleet, n int) {
+	for i, node := range f.Nodes {
+		if i%n == 0 {
+			node.CutOff.Store(true)
+		}
+	}
+}
+
+// Guards against a node that goes back to an older configuration, through
+// outages, cut networks, restarts and lost answers.
+func TestConfigurationNeverReverts(t *testing.T) {
+	inFleet(t, 7, func(g *WithT, f *fleet.Fleet) {
+		seen := make([]uint64, len(f.Nodes))
+		check := func() {
+			for i, node := range f.Nodes {
+				revision := node.Revision()
+				g.Expect(revision).To(BeNumerically(">=", seen[i]), "node %d went back", i)
+				seen[i] = revision
+			}
+		}
+		half := func(address string) int { return int(address[len("127.1.0.")]) % 2 }
+		steps := []func(){
+			func() { f.Nodes[0].Apply(workKind(600)) },
+			func() { f.Cut(half) },
+			func() { f.Nodes[1].Apply(workKind(601)) },
+			func() { f.Platform.SetFaults(platform.Faults{LoseAnswers: 3}) },
+			func() { f.Nodes[2].Apply(workKind(602)) },
+			func() { f.Heal() },
+			func() { f.Platform.SetFaults(platform.Faults{Down: true}) },
+			func() { f.Kill(f.Nodes[3]); seen[3] = 0; f.Restart(f.Nodes[3]) },
+			func() { f.Cut(half) },
+			func() { f.Platform.SetFaults(platform.Faults{}) },
+			func() { f.Nodes[4].Apply(workKind(603)) },
+			func() { f.Heal() },
+		}
+		for _, step := range steps {
+			step()
+			for range 40 {
+				check()
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		code, result := f.Nodes[5].Apply(workKind(604))
+		g.Expect(code).To(Equal(200))
+		g.Expect(fleet.WaitUntil(inForceLimit, func() bool { check(); return allAt(f, result.Revision) })).To(BeTrue())
+	})
+}
+
+// Guards against two operators who both believe that they won a race.
+func TestOneOperatorWinsARace(t *testing.T) {
+	inFleet(t, 3, func(g *WithT, f *fleet.Fleet) {
+		base := f.Nodes[0].Revision()
+		codes := make(chan int, 2)
+		for i, timeout := range []int{610, 620} {
+			request := workKind(timeout)
+			request.IfRevision = &base
+			go func() {
+				code, _ := f.Nodes[i].Apply(request)
+				codes <- code
+			}()
+		}
+		g.Expect([]int{<-codes, <-codes}).To(ConsistOf(200, 409))
+	})
+}
+
+// Guards against a node that serves with an old or no configuration when it
+// starts while the platform is down.
+func TestNodeStartedInOutageLearnsFromPeers(t *testing.T) {
+	inFleet(t, 5, func(g *WithT, f *fleet.Fleet) {
+		f.Platform.SetFaults(platform.Faults{Down: true})
+		revision := f.Nodes[0].Revision()
+		node := f.StartNode()
+		g.Expect(fleet.WaitUntil(joinTime, func() bool { return node.Backend.Readiness().Ready })).To(BeTrue(), "%v", node.Backend.Readiness())
+		g.Expect(node.Revision()).To(Equal(revision))
+		code, _ := f.Nodes[0].Apply(workKind(640))
+		g.Expect(code).To(Equal(503))
+	})
+}
+
+// Guards against a ready node without a configuration: neither the platform nor a
+// peer can be reached.
+func TestNodeWithoutPlatformAndPeersIsNotReady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := fleet.New()
+		f.Platform.SetFaults(platform.Faults{Down: true})
+		f.Start(1)
+		defer f.StopAll()
+		time.Sleep(time.Minute)
+		g.Expect(f.Nodes[0].Backend.Readiness().Ready).To(BeFalse())
+	})
+}
+
+// Guards against a cut off node that takes new work on an old configuration, and
+// against a platform outage that stops the whole fleet.
+func TestIsolatedNodeRefusesButOutageDoesNot(t *testing.T) {
+	inFleet(t, 5, func(g *WithT, f *fleet.Fleet) {
+		f.Platform.SetFaults(platform.Faults{Down: true})
+		time.Sleep(time.Minute)
+		g.Expect(allReady(f)).To(BeTrue(), "an outage of the platform alone must not stop the nodes")
+		lonely := f.Nodes[2]
+		f.Cut(func(address string) int {
+			if address == lonely.Address {
+				return 1
+			}
+			return 0
+		})
+		isolated := func() bool { return lonely.Published.Load().Isolated && !lonely.Backend.Readiness().Ready }
+		g.Expect(fleet.WaitUntil(2*fewSeconds, isolated)).To(BeTrue())
+		g.Expect(f.Nodes[0].Backend.Readiness().Ready).To(BeTrue())
+		f.Heal()
+		g.Expect(fleet.WaitUntil(joinTime, func() bool { return allReady(f) })).To(BeTrue())
+	})
+}
+
+// Guards against calls on the platform that grow as fast as the fleet.
+func TestPlatformCallsGrowSlowerThanTheFleet(t *testing.T) {
+	calls := func(nodes int) (total uint64) {
+		inFleet(t, nodes, func(_ *WithT, f *fleet.Fleet) {
+			time.Sleep(time.Minute)
+			before := f.Platform.Counts()
+			time.Sleep(time.Minute)
+			after := f.Platform.Counts()
+			total = after.Reads + after.Writes - before.Reads - before.Writes
+		})
+		return total
+	}
+	g := NewWithT(t)
+	small, today, large := calls(4), calls(19), calls(60)
+	t.Logf("platform calls per minute with 4, 19 and 60 nodes: %d, %d, %d", small, today, large)
+	g.Expect(float64(today)).To(BeNumerically("<", float64(small)*19/4/2))
+	g.Expect(float64(large)).To(BeNumerically("<", float64(today)*60/19/2))
+}
+
+// Guards against a change that is applied twice, or reported as another
+// operator's, when the answers of its writes were lost.
+func TestLostAnswerIsRecognised(t *testing.T) {
+	for lost := 1; lost <= 5; lost++ {
+		inFleet(t, 3, func(g *WithT, f *fleet.Fleet) {
+			f.Platform.SetFaults(platform.Faults{LoseAnswers: lost})
+			request := workKind(650)
+			request.Operation = "change-1"
+			code, _ := f.Nodes[0].Apply(request)
+			g.Expect(code).To(BeElementOf(200, 503), "a lost answer is no conflict")
+			f.Platform.SetFaults(platform.Faults{})
+			code, result := f.Nodes[1].Apply(request)
+			g.Expect(code).To(Equal(200))
+			g.Expect(fleet.WaitUntil(inForceLimit, func() bool { return allAt(f, result.Revision) })).To(BeTrue())
+			entry := f.Nodes[2].Backend.Configuration().Manifest.Entries[api.KindWorkKind+"/lookup"]
+			g.Expect(entry.Generation).To(Equal(2))
+		})
+	}
+}
--- /dev/null
+++ b/testbed/fleet/fleet.go
@@ -0,0 +1,230 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/control"
+	"github.com/fireflychute/fireflychute/pkg/explain"
+	"github.com/fireflychute/fireflychute/pkg/membership"
+	"github.com/fireflychute/fireflychute/pkg/operator"
+	"github.com/fireflychute/fireflychute/pkg/snapshot"
+	"github.com/fireflychute/fireflychute/testbed/platform"
+)
+
+// DataCentres are the data centres over which nodes and targets are spread.
+var DataCentres = []string{"north", "middle", "south"}
+
+// Fleet is some nodes, a platform and a network.
+type Fleet struct {
+	Platform *platform.Server
+	Nodes    []*Node
+	network  *network
+	seeds    []string
+	starts   uint64
+	// Log receives the nodes' log lines; nothing by default.
+	Log zerolog.Logger
+}
+
+// Node is one node of the fleet.
+type Node struct {
+	Name       string
+	Address    string
+	DataCentre string
+	Controller *control.Controller
+	Backend    *control.Backend
+	Published  *atomic.Pointer[snapshot.Snapshot]
+	// CutOff tells that the node does not reach the platform.
+	CutOff   atomic.Bool
+	operator *operator.Server
+	cancel   context.CancelFunc
+	stopped  chan struct{}
+}
+
+// New returns a fleet without nodes.
+func New() *Fleet {
+	return &Fleet{
+		Platform: platform.NewServer(platform.DefaultReadRate, platform.DefaultWriteRate),
+		network:  newNetwork(),
+		Log:      zerolog.Nop(),
+	}
+}
+
+// Start starts count nodes.
+func (f *Fleet) Start(count int) {
+	for range count {
+		f.StartNode()
+	}
+}
+
+// StartNode starts one more node, which asks the first nodes of the fleet.
+func (f *Fleet) StartNode() *Node {
+	i := len(f.Nodes)
+	node := &Node{
+		Name: fmt.Sprintf("node-%02d", i), Address: nodeAddress(i), DataCentre: DataCentres[i%len(DataCentres)],
+	}
+	f.Nodes = append(f.Nodes, node)
+	if len(f.seeds) < 3 {
+		f.seeds = append(f.seeds, node.Address)
+	}
+	f.run(node)
+	return node
+}
+
+func nodeAddress(i int) string {
+	return fmt.Sprintf("127.1.0.%d:7946", i+1)
+}
+
+// Restart starts a node again that was killed or stopped.
+func (f *Fleet) Restart(node *Node) {
+	f.run(node)
+}
+
+func (f *Fleet) run(node *Node) {
+	f.starts++
+	node.Published = &atomic.Pointer[snapshot.Snapshot]{}
+	node.stopped = make(chan struct{})
+	store := platform.Direct{Server: f.Platform, Reachable: func() bool { return !node.CutOff.Load() }}
+	node.Controller = control.New(control.Options{
+		Self: membership.Member{
+			Name: node.Name, Address: node.Address, DataCentre: node.DataCentre, Incarnation: f.starts,
+		},
+		Seeds:     f.seeds,
+		Store:     store,
+		Peers:     &port{network: f.network, name: node.Name, address: node.Address},
+		Published: node.Published,
+		Probe:     noProbe{},
+		Random:    rand.New(rand.NewPCG(f.starts, 1)),
+		Log:       f.Log.With().Str("node", node.Name).Logger(),
+	})
+	node.Backend = control.NewBackend(node.Controller, &explain.Ring{})
+	node.operator = operator.NewServer(operator.Options{Store: store, Backend: node.Backend})
+	f.network.add(node.Address, node.Controller)
+	ctx, cancel := context.WithCancel(context.Background())
+	node.cancel = cancel
+	controller, stopped := node.Controller, node.stopped
+	go func() {
+		defer close(stopped)
+		_ = controller.Run(ctx)
+	}()
+}
+
+// Stop stops a node as planned.
+func (f *Fleet) Stop(node *Node) {
+	node.cancel()
+	<-node.stopped
+	f.network.remove(node.Address)
+}
+
+// Kill makes a node disappear without a word to anyone.
+func (f *Fleet) Kill(node *Node) {
+	f.network.remove(node.Address)
+	node.CutOff.Store(true)
+	node.cancel()
+	<-node.stopped
+	node.CutOff.Store(false)
+}
+
+// settleTime is longer than any call that a node leaves behind.
+const settleTime = 30 * time.Second
+
+// StopAll stops all nodes and waits for their calls to end.
+func (f *Fleet) StopAll() {
+	for _, node := range f.Nodes {
+		node.cancel()
+	}
+	for _, node := range f.Nodes {
+		<-node.stopped
+	}
+	time.Sleep(settleTime)
+}
+
+// Cut loses all messages between the nodes for which sides differ.
+func (f *Fleet) Cut(side func(address string) int) {
+	f.network.setCut(func(from, to string) bool { return side(from) != side(to) })
+}
+
+// Heal ends a cut.
+func (f *Fleet) Heal() {
+	f.network.setCut(nil)
+}
+
+// BytesSent returns how many bytes a node sent to other nodes.
+func (f *Fleet) BytesSent(node *Node) uint64 {
+	f.network.mu.Lock()
+	defer f.network.mu.Unlock()
+	return f.network.bytes[node.Address]
+}
+
+// ListVMs puts the nodes of the fleet and the targets on the platform's list.
+func (f *Fleet) ListVMs(targets []api.VM) {
+	vms := append([]api.VM{}, targets...)
+	for _, node := range f.Nodes {
+		vms = append(vms, api.VM{Address: node.Address, Role: "node", DataCentre: node.DataCentre, State: api.VMStateLive})
+	}
+	f.Platform.SetVMs(vms)
+}
+
+// Targets returns count live targets of a service, spread over the data centres.
+func Targets(service, version string, first, count int) []api.VM {
+	vms := []api.VM{}
+	for i := range count {
+		vms = append(vms, api.VM{
+			Address: fmt.Sprintf("127.2.%d.%d:8080", (first+i)/250, (first+i)%250+1), Role: "target", Service: service,
+			DataCentre: DataCentres[i%len(DataCentres)], Version: version, State: api.VMStateLive,
+		})
+	}
+	return vms
+}
+
+// Apply applies objects through a node's resource API and returns the HTTP status
+// and the answer.
+func (n *Node) Apply(request operator.ApplyRequest) (int, operator.ApplyResult) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		panic(err)
+	}
+	recorder := httptest.NewRecorder()
+	n.operator.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "/v1/apply", bytes.NewReader(body)))
+	var result operator.ApplyResult
+	_ = json.Unmarshal(recorder.Body.Bytes(), &result)
+	return recorder.Code, result
+}
+
+// Revision returns the revision that traffic of a node is served by.
+func (n *Node) Revision() uint64 {
+	view := n.Published.Load()
+	if view == nil {
+		return 0
+	}
+	return view.Revision
+}
+
+// WaitUntil returns whether a condition becomes true within a limit.
+func WaitUntil(limit time.Duration, condition func() bool) bool {
+	const step = 50 * time.Millisecond
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(step) {
+		if condition() {
+			return true
+		}
+	}
+	return condition()
+}
+
+// noProbe fails every probe.
+type noProbe struct{}
+
+// RoundTrip implements http.RoundTripper.
+func (noProbe) RoundTrip(*http.Request) (*http.Response, error) {
+	return nil, errCut
+}
