Weigh a failure as the first response like a later one

The first sample set the whole average, so one failure after a node's start kept a target out for several seconds (16 x the fleet's mean).

Seen when a trial forgot the average at a new incarnation: the level stayed at 1 for 4.8 s, because the old incarnation's last failure became the first sample.

--- a/pkg/target/counters.go
+++ b/pkg/target/counters.go
@@ -66,6 +66,8 @@
 	switch {
 	case failed:
 		c.Failed.Add(1)
+		// One failure as the first response is to weigh as little as a later one.
+		c.LatencyMicros.CompareAndSwap(0, max(micros, referenceMicros))
 		micros = max(micros, minFailureLatency, failureRatio*referenceMicros)
 	case ramp.IsSlow(micros, referenceMicros):
 		c.Slow.Add(1)
--- a/pkg/target/registry_test.go
+++ b/pkg/target/registry_test.go
@@ -76,10 +76,13 @@
 	g.Expect(r.Entries()[0].Units).To(Equal(4))
 }
 
-// Guards against a target that fails fast and so looks faster than the others.
+// Guards against a target that fails fast and so looks faster than the others, and
+// against one first failure that takes a target out for seconds.
 func TestFastFailuresCountAsSlow(t *testing.T) {
 	g := NewWithT(t)
 	counters := &Counters{}
+	counters.Done(time.Millisecond, true, 20_000)
+	g.Expect(counters.LatencyMicros.Load()).To(BeNumerically("<", 150_000), "one failure")
 	for range 5 {
 		counters.Done(time.Millisecond, true, 20_000)
 	}
