--- a/pkg/ramp/ramp.go
+++ b/pkg/ramp/ramp.go
@@ -128,17 +128,17 @@
 		return r.lower(r.level / 2)
 	}
 	r.total += window.Total
-	if !owner || !r.proved(window.Units) {
+	if !owner || !r.servedWell(window.Units) {
 		return Stay
 	}
 	r.begin(min(r.level*2, limit))
 	return Raise
 }
 
-// proved tells whether the level was served well. The reports tell how much all
+// servedWell tells whether the level was served well. The reports tell how much all
 // nodes together were served, but not how well; so this node's own units must have
 // been served well too. Up to half of the level was sent before the level began.
-func (r *Ramp) proved(units int) bool {
+func (r *Ramp) servedWell(units int) bool {
 	needed := servedPerUnit * r.level
 	if r.served >= needed {
 		return true
--- a/pkg/target/properties_test.go
+++ b/pkg/target/properties_test.go
@@ -70,10 +70,10 @@
 	})
 }
 
-// coldTarget bears twice as much after each level x 8 served requests.
+// coldTarget has twice the capacity after each level x 8 served requests.
 type coldTarget struct{ inFlight, served int }
 
-func (c *coldTarget) bears() int {
+func (c *coldTarget) capacity() int {
 	level, needed := 1, 8
 	for c.served >= needed {
 		level *= 2
@@ -82,8 +82,8 @@
 	return level
 }
 
-// P2. Guards against a cold target that gets more in flight from all nodes than it
-// bears or than its ramp level, while facts arrive late and in any order.
+// P2. Guards against a cold target that gets more in flight from all nodes than its
+// capacity or than its ramp level, while facts arrive late and in any order.
 func TestP2ColdTargetStaysWithinLevel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		nodes := fleetOf(rapid.IntRange(1, 19).Draw(t, "nodes"))
@@ -103,8 +103,8 @@
 					target.inFlight++
 				}
 			}
-			if target.inFlight > target.bears() || target.inFlight > highest {
-				t.Fatalf("%d in flight, target bears %d, level %d", target.inFlight, target.bears(), highest)
+			if target.inFlight > target.capacity() || target.inFlight > highest {
+				t.Fatalf("%d in flight, target capacity %d, level %d", target.inFlight, target.capacity(), highest)
 			}
 			for _, r := range registries {
 				counters := r.Entries()[0].Counters
--- a/pkg/target/registry.go
+++ b/pkg/target/registry.go
@@ -183,7 +183,7 @@
 func (r *Registry) ResetDataCentre(now time.Time, dataCentre string) {
 	for _, address := range r.order {
 		if r.targets[address].dataCentre == dataCentre {
-			r.targets[address].chill()
+			r.targets[address].resetRamp()
 		}
 	}
 }
--- a/pkg/target/state.go
+++ b/pkg/target/state.go
@@ -151,7 +151,7 @@
 	s.sequence = 0
 }
 
-func (s *state) chill() {
+func (s *state) resetRamp() {
 	s.level.Reset()
 	s.sequence += lowerStep
 	s.rampChanged = true
--- a/testbed/bench/design.go
+++ b/testbed/bench/design.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
 	"github.com/fireflychute/fireflychute/pkg/admission"
@@ -84,7 +83,7 @@
 
 func (n *node) tick() {
 	n.collect()
-	n.pump()
+	n.dispatch()
 	n.design.run.clock.after(collectInterval, n.tick)
 }
 
@@ -110,7 +109,7 @@
 			n.registry.ApplyFact(n.now(), fact)
 		}
 		n.refresh()
-		n.pump()
+		n.dispatch()
 	}
 }
 
@@ -137,7 +136,7 @@
 	}
 	n.waiting[ticket] = q
 	n.refuse(evicted)
-	n.pump()
+	n.dispatch()
 }
 
 func (n *node) refuse(ticket *admission.Ticket) {
@@ -147,8 +146,8 @@
 	}
 }
 
-// pump sends waiting requests while there are free units.
-func (n *node) pump() {
+// dispatch sends waiting requests while there are free units.
+func (n *node) dispatch() {
 	for n.queue != nil && n.queue.Len() > 0 {
 		n.view()
 		chosen, _, ok := balance.Choose(n.candidates, n.design.run.scenario.Spec.Slots, n.design.run.random)
@@ -202,7 +201,7 @@
 	}
 	if v == broken {
 		entry.Counters.Broken(int64(d.run.clock.now))
-		n.pump()
+		n.dispatch()
 		return
 	}
 	report := d.run.targets[q.target].report()
@@ -211,7 +210,7 @@
 	if report.Incarnation != entry.Incarnation {
 		n.collect() // an urgent event at the control goroutine
 	}
-	n.pump()
+	n.dispatch()
 }
 
 func (n *node) entry(to int) target.Entry {
@@ -220,5 +219,5 @@
 			return e
 		}
 	}
-	panic(math.MaxInt) // targets are never forgotten within a run
+	panic("target is not in the registry")
 }
--- a/testbed/bench/target.go
+++ b/testbed/bench/target.go
@@ -38,23 +38,23 @@
 
 // fake is a target with slots, a queue, a cold start and a changing service time.
 type fake struct {
-	clock     *clock
-	random    *rand.Rand
-	slots     int
-	queue     int
-	noisy     bool
-	shiftAt   time.Duration
-	slow      float64
-	failing   bool
-	life      int
-	running   []*work
-	waiting   []*work
-	served    int
-	cold      bool
-	gained    int // served since the cold start or the last overload
-	overloads int
-	shown     target.Report
-	shownAt   time.Duration
+	clock      *clock
+	random     *rand.Rand
+	slots      int
+	queue      int
+	noisy      bool
+	shiftAt    time.Duration
+	slow       float64
+	failing    bool
+	generation int
+	running    []*work
+	waiting    []*work
+	served     int
+	cold       bool
+	gained     int // served since the cold start or the last overload
+	overloads  int
+	shown      target.Report
+	shownAt    time.Duration
 }
 
 func newFake(c *clock, slots, queue int, seed uint64) *fake {
@@ -76,17 +76,17 @@
 
 func (f *fake) start(w *work) {
 	f.running = append(f.running, w)
-	life := f.life
-	overloaded := f.cold && len(f.running)+len(f.waiting) > f.bears()
+	generation := f.generation
+	overloaded := f.cold && len(f.running)+len(f.waiting) > f.capacity()
 	if overloaded {
 		f.overloads++
 		f.gained = 0
 	}
-	f.clock.after(time.Duration(float64(w.demand)*f.factor()), func() { f.finish(w, life, overloaded) })
+	f.clock.after(time.Duration(float64(w.demand)*f.factor()), func() { f.finish(w, generation, overloaded) })
 }
 
-func (f *fake) finish(w *work, life int, overloaded bool) {
-	if life != f.life {
+func (f *fake) finish(w *work, generation int, overloaded bool) {
+	if generation != f.generation {
 		return // restart has replied
 	}
 	f.running = slices.DeleteFunc(f.running, func(other *work) bool { return other == w })
@@ -105,8 +105,8 @@
 	w.reply(served)
 }
 
-// bears is how many requests a cold target can have in flight.
-func (f *fake) bears() int {
+// capacity is how many requests a cold target can have in flight.
+func (f *fake) capacity() int {
 	level := 1
 	for needed := 8; f.gained >= needed; needed += 8 * level {
 		level *= 2
@@ -138,7 +138,7 @@
 	for _, w := range slices.Concat(f.running, f.waiting) {
 		w.reply(broken)
 	}
-	f.life++
+	f.generation++
 	f.running, f.waiting, f.served, f.gained = nil, nil, 0, 0
 	f.cold = true
 }
@@ -155,5 +155,5 @@
 }
 
 func (f *fake) incarnation() string {
-	return fmt.Sprintf("i%d", f.life)
+	return fmt.Sprintf("i%d", f.generation)
 }
