--- a/cmd/fireflychute/main.go
+++ b/cmd/fireflychute/main.go
@@ -34,10 +34,13 @@
 func main() {
 	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
 	var opts options
-	_, err := flags.Parse(&opts)
+	arguments, err := flags.Parse(&opts)
 	if err != nil {
 		os.Exit(2)
 	}
+	if len(arguments) > 0 {
+		os.Exit(check(opts.Settings, arguments))
+	}
 	config, err := settings.Load(opts.Settings)
 	if err != nil {
 		log.Error().Err(err).Msg("settings refused")
--- a/pkg/declare/decode.go
+++ b/pkg/declare/decode.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/tomlline"
 )
 
 // sections maps the tables of a declaration file to kinds.
@@ -27,7 +28,7 @@
 type File struct {
 	Name    string
 	Objects []api.Object
-	lines   positions
+	lines   tomlline.Lines
 }
 
 // Locate adds the file and the line to a problem that concerns an object of this
@@ -36,7 +37,7 @@
 	for _, object := range f.Objects {
 		if object.Kind == problem.Kind && object.Name == problem.Name {
 			problem.File = f.Name
-			problem.Line = f.lines.find(sectionOf(problem.Kind), problem.Name, problem.Field)
+			problem.Line = f.lines.Find(sectionOf(problem.Kind), problem.Name, problem.Field)
 			return true
 		}
 	}
@@ -89,7 +90,7 @@
 	if err != nil {
 		return nil, &Problem{Reason: err.Error()}
 	}
-	file.lines = findPositions(text)
+	file.lines = tomlline.Of(text)
 	return tables, nil
 }
 
@@ -106,13 +107,13 @@
 	kind, ok := sections[section]
 	if !ok {
 		return Problems{{
-			File: f.Name, Line: f.lines.find(section), Kind: section,
+			File: f.Name, Line: f.lines.Find(section), Kind: section,
 			Reason: "unknown kind of table; known are " + strings.Join(sectionNames(), ", "),
 		}}
 	}
 	named, ok := value.(map[string]any)
 	if !ok {
-		return Problems{{File: f.Name, Line: f.lines.find(section), Kind: kind, Reason: "must hold a table per object, for example [" + section + ".name]"}}
+		return Problems{{File: f.Name, Line: f.lines.Find(section), Kind: kind, Reason: "must hold a table per object, for example [" + section + ".name]"}}
 	}
 	problems := Problems{}
 	for name, fields := range named {
@@ -124,11 +125,11 @@
 func (f *File) addObject(section, kind, name string, fields any) Problems {
 	object := api.Object{Kind: kind, Name: name}
 	if _, ok := fields.(map[string]any); !ok {
-		return Problems{{File: f.Name, Line: f.lines.find(section, name), Kind: kind, Name: name, Reason: "must be a table"}}
+		return Problems{{File: f.Name, Line: f.lines.Find(section, name), Kind: kind, Name: name, Reason: "must be a table"}}
 	}
 	raw, err := json.Marshal(fields)
 	if err != nil {
-		return Problems{{File: f.Name, Line: f.lines.find(section, name), Kind: kind, Name: name, Reason: err.Error()}}
+		return Problems{{File: f.Name, Line: f.lines.Find(section, name), Kind: kind, Name: name, Reason: err.Error()}}
 	}
 	object.Spec = raw
 	canonical, err := Canonical(object)
@@ -136,7 +137,7 @@
 	if errors.As(err, &problems) {
 		for i := range problems {
 			problems[i].File = f.Name
-			problems[i].Line = f.lines.find(section, name, problems[i].Field)
+			problems[i].Line = f.lines.Find(section, name, problems[i].Field)
 		}
 		return problems
 	}
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -3,53 +3,72 @@
 import (
 	"bytes"
 	"os"
+	"strings"
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pkg/errors"
+
+	"github.com/fireflychute/fireflychute/pkg/tomlline"
 )
 
-// Load reads and checks the settings file at path. The error names the file and,
-// for a syntax error or an unknown key, the line and the key.
+// Load reads and checks the settings file at path. Except when the file cannot be
+// read, the error is of type Problems: syntax errors, wrong types and unknown
+// keys, or else all missing keys, values out of range and contradictions.
 func Load(path string) (Settings, error) {
-	var settings Settings
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return settings, errors.Wrap(err, "read settings")
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+	return Parse(path, text)
+}
+
+// Parse is Load for text that was already read; name is used in errors.
+func Parse(name string, text []byte) (Settings, error) {
+	settings, err := Defaults()
+	if err != nil {
+		return settings, err
 	}
 	err = toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(&settings)
 	if err != nil {
-		return settings, errors.Wrapf(describe(err), "settings %s", path)
+		return settings, decodeProblems(name, err)
 	}
-	return settings, errors.Wrapf(settings.Validate(), "settings %s", path)
+	c := checker{file: name, settings: settings, lines: tomlline.Of(text)}
+	return settings, c.check()
 }
 
-// describe adds the position to an error of the TOML decoder.
-func describe(err error) error {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) {
-		return errors.New("unknown keys:\n" + strict.String())
-	}
-	var syntax *toml.DecodeError
-	if errors.As(err, &syntax) {
-		return errors.New(syntax.String())
-	}
-	return err
+// Defaults returns the settings of an empty file. They are not complete: keys
+// without a default are empty.
+func Defaults() (Settings, error) {
+	var settings Settings
+	err := toml.Unmarshal([]byte(defaults), &settings)
+	return settings, errors.Wrap(err, "decode default settings")
 }
 
-// Validate reports the first setting that is missing.
+// Validate checks settings that did not come from a file. The error is of type
+// Problems.
 func (s Settings) Validate() error {
-	required := []struct{ key, value string }{
-		{"node.name", s.Node.Name},
-		{"node.dataCentre", s.Node.DataCentre},
-		{"callers.listen", s.Callers.Listen},
-		{"operators.listen", s.Operators.Listen},
-		{"peers.listen", s.Peers.Listen},
-		{"platform.url", s.Platform.URL},
-	}
-	for _, setting := range required {
-		if setting.value == "" {
-			return errors.Errorf("%s must be set", setting.key)
+	c := checker{file: "settings", settings: s}
+	return c.check()
+}
+
+// decodeProblems lists what the TOML decoder refused.
+func decodeProblems(name string, err error) error {
+	var unknown *toml.StrictMissingError
+	if errors.As(err, &unknown) {
+		problems := Problems{}
+		for _, e := range unknown.Errors {
+			problems = append(problems, decodeProblem(name, &e, "unknown key"))
 		}
+		return problems.asError()
 	}
-	return nil
+	var refused *toml.DecodeError
+	if errors.As(err, &refused) {
+		return Problems{decodeProblem(name, refused, strings.TrimPrefix(refused.Error(), "toml: "))}
+	}
+	return Problems{{File: name, Reason: err.Error()}}
+}
+
+func decodeProblem(name string, err *toml.DecodeError, reason string) Problem {
+	line, _ := err.Position()
+	return Problem{File: name, Line: line, Key: strings.Join(err.Key(), "."), Reason: reason}
 }
--- a/pkg/settings/types_gen.go
+++ b/pkg/settings/types_gen.go
@@ -2,12 +2,45 @@
 
 package settings
 
+// Limits of one HTTP listener.
+type Limits struct {
+	// Longest time in milliseconds to receive a whole request, header included.
+	BodyTimeMs int `toml:"bodyTimeMs"`
+
+	// Longest time in milliseconds to receive a request's header.
+	HeaderTimeMs int `toml:"headerTimeMs"`
+
+	// Time in milliseconds after which an idle connection is closed.
+	IdleTimeMs int `toml:"idleTimeMs"`
+
+	// Largest request body in bytes.
+	MaxBodyBytes int `toml:"maxBodyBytes"`
+
+	// Connections accepted at the same time.
+	MaxConnections int `toml:"maxConnections"`
+
+	// Largest request header in bytes.
+	MaxHeaderBytes int `toml:"maxHeaderBytes"`
+}
+
+// Limits of the listener for peers.
+type PeerLimits struct {
+	// Time in milliseconds after which an idle connection is closed.
+	IdleTimeMs int `toml:"idleTimeMs"`
+
+	// Connections accepted at the same time.
+	MaxConnections int `toml:"maxConnections"`
+}
+
 // Settings of one node.
 type Settings struct {
 	// Listener for callers.
 	Callers SettingsCallers `toml:"callers"`
 
-	// Identity of the node.
+	// Log on standard error.
+	Log SettingsLog `toml:"log"`
+
+	// Identity and limits of the node.
 	Node SettingsNode `toml:"node"`
 
 	// Listener for operators.
@@ -18,36 +51,72 @@
 
 	// The platform's object API.
 	Platform SettingsPlatform `toml:"platform"`
+
+	// Export of traces by OTLP over HTTP.
+	Tracing SettingsTracing `toml:"tracing"`
 }
 
 // Listener for callers.
 type SettingsCallers struct {
+	// Limits corresponds to the JSON schema field "limits".
+	Limits Limits `toml:"limits"`
+
 	// IP address and port.
 	Listen string `toml:"listen"`
 }
 
-// Identity of the node.
+// Log on standard error.
+type SettingsLog struct {
+	// Least severe level that is written: debug, info, warn or error.
+	Level string `toml:"level"`
+}
+
+// Identity and limits of the node.
 type SettingsNode struct {
 	// Data centre in which the node runs.
 	DataCentre string `toml:"dataCentre"`
 
+	// Longest time in milliseconds that a planned stop waits for calls in flight.
+	DrainTimeMs int `toml:"drainTimeMs"`
+
+	// Soft limit of the Go runtime's memory in bytes, at least 32 MiB; 0 sets none.
+	MemoryLimitBytes int `toml:"memoryLimitBytes"`
+
 	// Name of the node, unique in the fleet.
 	Name string `toml:"name"`
 }
 
 // Listener for operators.
 type SettingsOperators struct {
+	// Whether the listener may do without TLS on an address that is not loopback.
+	AllowPlainText bool `toml:"allowPlainText"`
+
+	// Limits corresponds to the JSON schema field "limits".
+	Limits Limits `toml:"limits"`
+
 	// IP address and port.
 	Listen string `toml:"listen"`
+
+	// TLS corresponds to the JSON schema field "tls".
+	TLS TLS `toml:"tls"`
 }
 
 // Listener for other nodes.
 type SettingsPeers struct {
-	// IP address and port.
+	// Whether the listener may do without TLS on an address that is not loopback.
+	AllowPlainText bool `toml:"allowPlainText"`
+
+	// Limits corresponds to the JSON schema field "limits".
+	Limits PeerLimits `toml:"limits"`
+
+	// IP address and port. Other nodes connect to it, so it must name one address.
 	Listen string `toml:"listen"`
 
 	// Peer addresses asked first at start.
-	Seeds []string `toml:"seeds,omitempty"`
+	Seeds []string `toml:"seeds"`
+
+	// TLS corresponds to the JSON schema field "tls".
+	TLS TLS `toml:"tls"`
 }
 
 // The platform's object API.
@@ -55,3 +124,25 @@
 	// Base URL.
 	URL string `toml:"url"`
 }
+
+// Export of traces by OTLP over HTTP.
+type SettingsTracing struct {
+	// URL of the collector; empty exports nothing.
+	Endpoint string `toml:"endpoint"`
+
+	// Part of the calls that are traced, from 0 to 1.
+	SampleRatio float64 `toml:"sampleRatio"`
+}
+
+// Certificates for mutual TLS. Either all three files are given or none. Changed
+// files are taken over without a restart.
+type TLS struct {
+	// File of the authorities in PEM whose certificates the other side must present.
+	CA string `toml:"ca"`
+
+	// File of the certificate chain in PEM.
+	Cert string `toml:"cert"`
+
+	// File of the private key in PEM.
+	Key string `toml:"key"`
+}
--- a/pkg/declare/position.go
+++ b/pkg/tomlline/lines.go
@@ -1,4 +1,5 @@
-package declare
+// Package tomlline finds the lines at which the keys of a TOML document stand.
+package tomlline
 
 import (
 	"bytes"
@@ -7,14 +8,14 @@
 	"github.com/pelletier/go-toml/v2/unstable"
 )
 
-// positions maps the path of a key to the line where it is declared first.
-type positions map[string]int
+// Lines maps the path of a key to the line where it is declared first.
+type Lines map[string]int
 
-// find returns the line of a path. When the path has no line of its own, for
+// Find returns the line of a path. When the path has no line of its own, for
 // example a field that was left out, it returns that of the enclosing table.
-func (p positions) find(path ...string) int {
+func (l Lines) Find(path ...string) int {
 	for n := len(path); n > 0; n-- {
-		line, ok := p[joinPath(path[:n])]
+		line, ok := l[joinPath(path[:n])]
 		if ok {
 			return line
 		}
@@ -22,14 +23,20 @@
 	return 0
 }
 
+// Has reports whether a path is declared.
+func (l Lines) Has(path ...string) bool {
+	_, ok := l[joinPath(path)]
+	return ok
+}
+
 func joinPath(path []string) string {
 	return strings.Join(path, "\x00")
 }
 
-// findPositions reads the lines of all keys of a TOML document that is known to
+// Of reads the lines of all keys of a TOML document that is known to
 // be correct. Keys within inline tables take the line of the enclosing key.
-func findPositions(text []byte) positions {
-	found := positions{}
+func Of(text []byte) Lines {
+	found := Lines{}
 	lines := lineCounter{text: text, line: 1}
 	parser := unstable.Parser{}
 	parser.Reset(text)
@@ -47,11 +54,11 @@
 }
 
 // add notes the line for a path and for the tables that it declares implicitly.
-func (p positions) add(path []string, line int) {
+func (l Lines) add(path []string, line int) {
 	for n := 1; n <= len(path); n++ {
 		key := joinPath(path[:n])
-		if _, ok := p[key]; !ok {
-			p[key] = line
+		if _, ok := l[key]; !ok {
+			l[key] = line
 		}
 	}
 }
