Bench rollouts of good and bad versions

make bench-rollouts follows seeded rollouts of each type over the decision code, at the size of both users. Targets start cold (not judged), have noisy neighbours and crash once; an overload hits both versions once.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MODULES := ./... ./testbed/...
 TOOL := go tool -modfile=$(CURDIR)/tools/go.mod
 
-.PHONY: build demo test race format lint generate generated
+.PHONY: build demo bench-rollouts test race format lint generate generated
 
 build:
 	go build -o bin/ ./cmd/... ./testbed/cmd/...
@@ -11,6 +11,10 @@
 demo: build
 	bin/demo
 
+# Share of good rollouts done in time and of bad ones taken back; several minutes.
+bench-rollouts:
+	go run ./testbed/cmd/benchrollouts
+
 test:
 	go test $(MODULES)
 
--- /dev/null
+++ b/testbed/cmd/benchrollouts/main.go
@@ -0,0 +1,38 @@
+// Command benchrollouts prints how well rollouts of good versions finish and
+// rollouts of bad versions are taken back.
+package main
+
+import (
+	"os"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/fireflychute/fireflychute/testbed/rolloutbench"
+)
+
+type options struct {
+	Rollouts int    `long:"rollouts" default:"200" description:"rollouts of each type"`
+	Workers  int    `long:"workers" default:"4" description:"rollouts followed at the same time"`
+	Only     string `long:"only" description:"types whose name contains this"`
+}
+
+func main() {
+	var opts options
+	_, err := flags.Parse(&opts)
+	if err != nil {
+		os.Exit(2)
+	}
+	table := rolloutbench.NewTable(os.Stdout)
+	for _, deployment := range rolloutbench.Deployments {
+		for _, kind := range rolloutbench.Types {
+			if !strings.Contains(kind.Name, opts.Only) {
+				continue
+			}
+			results := rolloutbench.RunMany(deployment, kind, opts.Rollouts, opts.Workers)
+			rolloutbench.Add(table, deployment, kind, rolloutbench.Summarise(results))
+		}
+		table.AppendSeparator()
+	}
+	table.Render()
+}
