--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MODULES := ./... ./testbed/...
 TOOL := go tool -modfile=$(CURDIR)/tools/go.mod
 
-.PHONY: build bench demo test race format lint generate generated
+.PHONY: build bench demo test race format lint generate generated bench-rollouts
 
 build:
 	go build -o bin/ ./cmd/... ./testbed/cmd/...
@@ -13,6 +13,9 @@
 
 bench:
 	go run ./testbed/cmd/bench
+# Share of good rollouts done in time and of bad ones taken back; several minutes.
+bench-rollouts:
+	go run ./testbed/cmd/benchrollouts
 
 test:
 	go test $(MODULES)
--- a/testbed/fleet/configuration_test.go
+++ b/testbed/fleet/configuration_test.go
@@ -154,7 +154,7 @@
 			return 0
 		})
 		isolated := func() bool { return lonely.Published.Load().Isolated && !lonely.Backend.Readiness().Ready }
-		g.Expect(fleet.WaitUntil(2*fewSeconds, isolated)).To(BeTrue())
+		g.Expect(fleet.WaitUntil(2*leaveLimit, isolated)).To(BeTrue())
 		g.Expect(f.Nodes[0].Backend.Readiness().Ready).To(BeTrue())
 		f.Heal()
 		g.Expect(fleet.WaitUntil(joinTime, func() bool { return allReady(f) })).To(BeTrue())
--- a/testbed/fleet/fixture_test.go
+++ b/testbed/fleet/fixture_test.go
@@ -17,8 +17,8 @@
 const (
 	// inForceLimit is the time in which a change must be in force everywhere.
 	inForceLimit = 16 * time.Second
-	// fewSeconds bounds how long a part that leaves may receive new work.
-	fewSeconds = 5 * time.Second
+	// leaveLimit bounds how long a part that leaves may receive new work.
+	leaveLimit = 5 * time.Second
 	// joinTime is enough for a fleet to start.
 	joinTime = 30 * time.Second
 	service  = "label-text"
--- a/testbed/fleet/moves_test.go
+++ b/testbed/fleet/moves_test.go
@@ -26,11 +26,11 @@
 		g.Expect(anyTarget(f, inSouth)).To(BeTrue())
 		code, _ := f.Nodes[0].Apply(moveDataCentre("south", api.DataCentreStateOut))
 		g.Expect(code).To(Equal(200))
-		time.Sleep(fewSeconds)
+		time.Sleep(leaveLimit)
 		g.Expect(anyTarget(f, inSouth)).To(BeFalse())
 		code, _ = f.Nodes[1].Apply(moveDataCentre("south", api.DataCentreStateIn))
 		g.Expect(code).To(Equal(200))
-		time.Sleep(fewSeconds)
+		time.Sleep(leaveLimit)
 		g.Expect(anyTarget(f, inSouth)).To(BeTrue())
 		g.Expect(unitsPerTarget(f, inSouth)).To(HaveEach(BeNumerically("<=", 1)), "a returned target is cold")
 	})
@@ -199,9 +199,9 @@
 		leaving := targetsOf(f.Nodes[0])[0]
 		same := func(target *snapshot.Target) bool { return target.Address == leaving.Address }
 		leaving.Counters.Leaving.Store(true)
-		g.Expect(fleet.WaitUntil(fewSeconds, func() bool { return !anyTarget(f, same) })).To(BeTrue())
+		g.Expect(fleet.WaitUntil(leaveLimit, func() bool { return !anyTarget(f, same) })).To(BeTrue())
 		f.ListVMs(append(fleet.Targets(service, "v1", 0, 12), fleet.Targets(service, newTest, 100, 6)...))
-		time.Sleep(fewSeconds)
+		time.Sleep(leaveLimit)
 		g.Expect(anyTarget(f, same)).To(BeFalse(), "an old list brought the target back")
 	})
 }
