Add telemetry

Metrics are made from one table and served in the Prometheus format, with OTLP over HTTP as an option.

--- /dev/null
+++ b/pkg/telemetry/doc.go
@@ -0,0 +1,2 @@
+// Package telemetry makes the node's OpenTelemetry metrics and traces.
+package telemetry
--- /dev/null
+++ b/pkg/telemetry/telemetry.go
@@ -0,0 +1,175 @@
+package telemetry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlpmetric/otlpmetrichttp"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+)
+
+const scope = "github.com/fireflychute/fireflychute"
+
+// bounds are the histograms' bucket limits in seconds.
+var bounds = []float64{.0005, .001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5, 10}
+
+// Options are the settings of telemetry.
+type Options struct {
+	// OTLP is the base URL of an OTLP receiver over HTTP; empty exports nothing.
+	OTLP string
+	// SampleRatio is the part of the requests without a trace that get one.
+	SampleRatio float64
+	// Spans receives the spans in place of the OTLP exporter.
+	Spans sdktrace.SpanExporter
+}
+
+// Telemetry owns the exporters.
+type Telemetry struct {
+	registry *prometheus.Registry
+	meters   *sdkmetric.MeterProvider
+	traces   *sdktrace.TracerProvider
+	tracing  *Tracing
+	counters map[string]metric.Int64Counter
+	times    map[string]metric.Float64Histogram
+	routes   sync.Map // route name -> *Route
+}
+
+// New starts telemetry. Close must be called to export what is left.
+func New(ctx context.Context, options Options) (*Telemetry, error) {
+	t := &Telemetry{registry: prometheus.NewRegistry(), counters: map[string]metric.Int64Counter{}, times: map[string]metric.Float64Histogram{}}
+	reader, err := exporter.New(exporter.WithRegisterer(t.registry))
+	if err != nil {
+		return nil, errors.Wrap(err, "prometheus exporter")
+	}
+	readers := []sdkmetric.Option{sdkmetric.WithReader(reader)}
+	spans := options.Spans
+	if options.OTLP != "" {
+		metrics, err := otlpmetrichttp.New(ctx, otlpmetrichttp.WithEndpointURL(options.OTLP+"/v1/metrics"))
+		if err != nil {
+			return nil, errors.Wrap(err, "OTLP metrics exporter")
+		}
+		readers = append(readers, sdkmetric.WithReader(sdkmetric.NewPeriodicReader(metrics)))
+		spans, err = otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(options.OTLP+"/v1/traces"))
+		if err != nil {
+			return nil, errors.Wrap(err, "OTLP trace exporter")
+		}
+	}
+	t.meters = sdkmetric.NewMeterProvider(readers...)
+	t.startTracing(options, spans)
+	return t, t.makeInstruments()
+}
+
+func (t *Telemetry) startTracing(options Options, spans sdktrace.SpanExporter) {
+	if spans == nil {
+		return
+	}
+	t.traces = sdktrace.NewTracerProvider(sdktrace.WithBatcher(spans))
+	t.tracing = &Tracing{tracer: t.traces.Tracer(scope), ratio: options.SampleRatio}
+}
+
+func (t *Telemetry) makeInstruments() error {
+	meter := t.meters.Meter(scope)
+	for _, m := range Metrics {
+		var err error
+		switch m.Type {
+		case Counter:
+			t.counters[m.Name], err = meter.Int64Counter(m.Name, metric.WithUnit(m.Unit), metric.WithDescription(m.Meaning))
+		case Histogram:
+			t.times[m.Name], err = meter.Float64Histogram(m.Name, metric.WithUnit(m.Unit), metric.WithDescription(m.Meaning), metric.WithExplicitBucketBoundaries(bounds...))
+		}
+		if err != nil {
+			return errors.Wrapf(err, "metric %s", m.Name)
+		}
+	}
+	return nil
+}
+
+// Handler serves the metrics in the Prometheus format.
+func (t *Telemetry) Handler() http.Handler {
+	return promhttp.HandlerFor(t.registry, promhttp.HandlerOpts{})
+}
+
+// Close exports what is left and ends the exporters.
+func (t *Telemetry) Close(ctx context.Context) error {
+	err := t.meters.Shutdown(ctx)
+	if t.traces != nil {
+		return errors.Wrap(firstError(t.traces.Shutdown(ctx), err), "close telemetry")
+	}
+	return errors.Wrap(err, "close telemetry")
+}
+
+func firstError(a, b error) error {
+	if a != nil {
+		return a
+	}
+	return b
+}
+
+// Route has the metrics of one route, with their attributes prepared. A nil
+// Route records nothing.
+type Route struct {
+	telemetry *Telemetry
+	add       []metric.AddOption
+	record    []metric.RecordOption
+	classAdd  [6][]metric.AddOption // by first digit of the status
+	classTime [6][]metric.RecordOption
+}
+
+// Route returns the metrics of a route. It accepts a nil Telemetry.
+func (t *Telemetry) Route(name string) *Route {
+	if t == nil {
+		return nil
+	}
+	known, ok := t.routes.Load(name)
+	if ok {
+		return known.(*Route)
+	}
+	known, _ = t.routes.LoadOrStore(name, t.newRoute(name))
+	return known.(*Route)
+}
+
+func (t *Telemetry) newRoute(name string) *Route {
+	route := attribute.String("route", name)
+	plain := metric.WithAttributeSet(attribute.NewSet(route))
+	r := &Route{telemetry: t, add: []metric.AddOption{plain}, record: []metric.RecordOption{plain}}
+	for class := range r.classAdd {
+		option := metric.WithAttributeSet(attribute.NewSet(route, attribute.Int("class", class)))
+		r.classAdd[class] = []metric.AddOption{option}
+		r.classTime[class] = []metric.RecordOption{option}
+	}
+	return r
+}
+
+// Count adds one to a counter of the table.
+func (r *Route) Count(name string) {
+	if r != nil {
+		r.telemetry.counters[name].Add(context.Background(), 1, r.add...)
+	}
+}
+
+// Time records a duration in a histogram of the table.
+func (r *Route) Time(name string, duration time.Duration) {
+	if r != nil {
+		r.telemetry.times[name].Record(context.Background(), duration.Seconds(), r.record...)
+	}
+}
+
+// Answered records an answered request.
+func (r *Route) Answered(status int, duration time.Duration) {
+	if r == nil {
+		return
+	}
+	class := min(max(status/100, 0), len(r.classAdd)-1)
+	r.telemetry.counters[Requests].Add(context.Background(), 1, r.classAdd[class]...)
+	r.telemetry.times[RequestDuration].Record(context.Background(), duration.Seconds(), r.classTime[class]...)
+}
--- /dev/null
+++ b/pkg/telemetry/telemetry_test.go
@@ -0,0 +1,61 @@
+package telemetry
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+)
+
+// Guards against a metric of the table without an instrument.
+func TestEveryMetricIsServed(t *testing.T) {
+	g := NewWithT(t)
+	telemetry, err := New(t.Context(), Options{})
+	g.Expect(err).NotTo(HaveOccurred())
+	route := telemetry.Route("r")
+	for _, m := range Metrics {
+		if m.Type == Counter {
+			route.Count(m.Name)
+		} else {
+			route.Time(m.Name, time.Second)
+		}
+	}
+	page := httptest.NewRecorder()
+	telemetry.Handler().ServeHTTP(page, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, m := range Metrics {
+		g.Expect(page.Body.String()).To(ContainSubstring(m.Meaning))
+	}
+}
+
+// Guards against the trace context not reaching the target and against spans of
+// requests that the caller decided not to sample.
+func TestTraceContext(t *testing.T) {
+	g := NewWithT(t)
+	spans := tracetest.NewInMemoryExporter()
+	telemetry, err := New(t.Context(), Options{Spans: spans, SampleRatio: 1})
+	g.Expect(err).NotTo(HaveOccurred())
+	r := httptest.NewRequest(http.MethodGet, "/", nil)
+	r.Header.Set(headerTrace, "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-00")
+	g.Expect(telemetry.Tracing().Request(r, "r")).To(BeNil())
+	r.Header.Set(headerTrace, "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01")
+	span, out := telemetry.Tracing().Request(r, "r"), http.Header{}
+	span.Try("t", []string{"t"}, "e", out).End(200, "")
+	span.End(200, "")
+	g.Expect(telemetry.traces.ForceFlush(t.Context())).To(Succeed())
+	g.Expect(spans.GetSpans()).To(HaveLen(2))
+	g.Expect(out.Get(headerTrace)).To(HavePrefix("00-0af7651916cd43dd8448eb211c80319c-" + spans.GetSpans()[0].SpanContext.SpanID().String()))
+}
+
+func BenchmarkNotSampled(b *testing.B) {
+	tracing := &Tracing{}
+	r := httptest.NewRequest(http.MethodGet, "/", nil)
+	b.ReportAllocs()
+	for b.Loop() {
+		span := tracing.Request(r, "r")
+		span.Try("t", nil, "", nil).End(200, "")
+		span.End(200, "")
+	}
+}
