Replace the thin proxy with the whole traffic path

Two faults were found by the tests. A refusal of a request with an unread body was held back until the body had arrived; the handler now works in full duplex. net/http drops a Content-Length that comes with chunks, so a balancer in front that goes by the length could take the rest for its next request; the connection is now closed after a chunked request.

--- a/cmd/fireflychute/main.go
+++ b/cmd/fireflychute/main.go
@@ -59,7 +59,7 @@
 	group.Add(run.SignalHandler(context.Background(), syscall.SIGINT, syscall.SIGTERM))
 	ctx, cancel := context.WithCancel(context.Background())
 	group.Add(func() error { return controller.Run(ctx) }, func(error) { cancel() })
-	addServer(&group, config.Callers.Listen, proxy.NewHandler(&published, http.DefaultTransport))
+	addServer(&group, config.Callers.Listen, proxy.NewHandler(proxy.Options{Published: &published, Node: config.Node.Name}))
 	addServer(&group, config.Operators.Listen, operator.NewServer(store, &published))
 	log.Info().Msg("node started")
 	return group.Run()
--- /dev/null
+++ b/pkg/proxy/body.go
@@ -0,0 +1,53 @@
+package proxy
+
+import (
+	"io"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+var errDetached = errors.New("try has ended")
+
+// tryBody lends a caller's body to one try. After the try ended nothing more is
+// read, so that the next try finds the body as the last one left it.
+type tryBody struct {
+	inner    io.Reader
+	mu       sync.Mutex
+	detached bool
+	touched  bool
+	failure  error
+}
+
+// Read implements io.Reader.
+func (b *tryBody) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	if b.detached {
+		b.mu.Unlock()
+		return 0, errDetached
+	}
+	b.touched = true
+	b.mu.Unlock()
+	n, err := b.inner.Read(p)
+	if err != nil && err != io.EOF {
+		b.mu.Lock()
+		b.failure = err
+		b.mu.Unlock()
+	}
+	return n, err
+}
+
+// Close implements io.Closer. The server closes the caller's body.
+func (b *tryBody) Close() error { return nil }
+
+// detach ends the loan. It tells whether a part of the body may be gone, and the
+// error of reading from the caller.
+func (b *tryBody) detach() (touched bool, failure error) {
+	if b == nil {
+		return false, nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.detached = true
+	return b.touched, b.failure
+}
--- /dev/null
+++ b/pkg/proxy/exchange.go
@@ -0,0 +1,231 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fireflychute/fireflychute/pkg/explain"
+	"github.com/fireflychute/fireflychute/pkg/retry"
+	"github.com/fireflychute/fireflychute/pkg/snapshot"
+	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/telemetry"
+	"github.com/fireflychute/fireflychute/pkg/transport"
+)
+
+const (
+	// latencyWeight is the part of the old average that a new sample replaces: 1/8.
+	latencyWeight = 8
+	// failureFactor makes a failure count as a response slower than the average by
+	// this factor, so that a target that fails fast does not attract work.
+	failureFactor = 10
+)
+
+// try sends the request to the chosen target. It returns true when the request
+// is finished.
+func (c *call) try() bool {
+	chosen := c.chosen.target
+	defer c.gate.release(chosen)
+	c.tried = append(c.tried, chosen)
+	c.note()
+	if c.ctx.Err() != nil {
+		return !c.giveUp(time.Second, "deadline passed or caller left")
+	}
+	header := headersToTarget(c, c.deadline.Sub(c.handler.now()))
+	span := c.span.Try(chosen.Address, c.names(), fmt.Sprintf("%+v", c.chosen.evidence), header)
+	sent := c.handler.now()
+	chosen.Counters.Sent.Add(1)
+	answer, err := c.handler.options.Client.Do(c.outgoing(header), connectionsTo(chosen))
+	if err != nil {
+		span.End(0, err.Error())
+		return c.failed(err, sent)
+	}
+	defer answer.Body.Close()
+	defer c.body.detach()
+	span.End(answer.StatusCode, "")
+	notRun := c.readReport(answer)
+	if notRun {
+		return c.refusedByTarget(answer)
+	}
+	c.pass(answer, sent)
+	return true
+}
+
+func (c *call) note() {
+	c.metrics.Count(telemetry.Tries)
+	if len(c.tried) > 1 {
+		c.metrics.Count(telemetry.Retries)
+	}
+	c.tries = append(c.tries, explain.Try{Target: c.chosen.target.Address, Candidates: c.names(), Evidence: c.chosen.evidence})
+}
+
+func (c *call) names() []string {
+	names := make([]string, len(c.chosen.among))
+	for i, t := range c.chosen.among {
+		names[i] = t.Address
+	}
+	return names
+}
+
+func connectionsTo(t *snapshot.Target) int {
+	if t.Connections > 0 {
+		return t.Connections
+	}
+	return t.Units
+}
+
+func (c *call) outgoing(header http.Header) *http.Request {
+	url := *c.request.URL
+	url.Scheme, url.Host = "http", c.chosen.target.Address
+	out := &http.Request{
+		Method: c.request.Method, URL: &url, Host: c.request.Host, Header: header,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	c.body = nil
+	if c.request.Body != nil && c.request.Body != http.NoBody {
+		c.body = &tryBody{inner: c.request.Body}
+		out.Body, out.ContentLength = c.body, c.request.ContentLength
+	}
+	return out.WithContext(c.ctx)
+}
+
+// readReport stores the load report. It tells whether the target refused to run
+// the request.
+func (c *call) readReport(answer *http.Response) bool {
+	counters := c.chosen.target.Counters
+	declared := retry.Outcome(answer.Header.Get(HeaderOutcome))
+	notRun := retry.Classify(retry.Failure{Status: answer.StatusCode, Declared: declared}) == retry.NotRun
+	if c.handler.options.ParseReport == nil {
+		return notRun
+	}
+	report, ok := c.handler.options.ParseReport(answer.Header.Get(HeaderLoad))
+	if !ok {
+		return notRun
+	}
+	report.ArrivedNanos = c.handler.now().Sub(started).Nanoseconds()
+	report.SentBefore = counters.Sent.Load()
+	counters.LastReport.Store(&report)
+	if report.Draining {
+		counters.Leaving.Store(true)
+	}
+	return notRun
+}
+
+// refusedByTarget tries elsewhere, or passes the refusal on.
+func (c *call) refusedByTarget(answer *http.Response) bool {
+	decision := c.decide(retry.NotRun, "refused by target")
+	if decision.Again {
+		return false
+	}
+	if decision.Outcome == retry.Unknown {
+		return !c.fail(http.StatusBadGateway, 0, OutcomeUnknown, decision.Reason)
+	}
+	if answer.Header.Get("Retry-After") == "" {
+		answer.Header.Set("Retry-After", "1")
+	}
+	copyAnswerHeaders(c.w.Header(), answer)
+	c.w.WriteHeader(answer.StatusCode)
+	_ = stream(c.w, answer)
+	c.conclude(answer.StatusCode, OutcomeNotRun, decision.Reason)
+	return true
+}
+
+func (c *call) decide(outcome retry.Outcome, failure string) retry.Decision {
+	consumed, _ := c.body.detach()
+	if outcome == retry.Unknown {
+		c.unknown++
+	}
+	c.tries[len(c.tries)-1].Failure = failure
+	return c.gate.budget.Decide(retry.Try{
+		Outcome: outcome, Tries: len(c.tried), Unknown: c.unknown, Idempotent: c.route.Work.Idempotent,
+		Depth: c.depth, NoRetry: c.noRetry, Consumed: consumed, Expired: c.ctx.Err() != nil,
+	})
+}
+
+// failed follows an exchange without an answer.
+func (c *call) failed(err error, sent time.Time) bool {
+	var failure *transport.Error
+	notSent := errors.As(err, &failure) && failure.NotRun
+	if failure != nil && failure.Refused && c.handler.options.Refused != nil {
+		c.handler.options.Refused(failure.Peer)
+	}
+	_, bodyErr := c.body.detach()
+	outcome := retry.Classify(retry.Failure{NotSent: notSent})
+	if c.request.Context().Err() == nil && bodyErr == nil {
+		c.count(sent, true, outcome == retry.Unknown)
+	}
+	decision := c.decide(outcome, err.Error())
+	if decision.Again {
+		return false
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(bodyErr, &tooLarge):
+		return !c.fail(http.StatusRequestEntityTooLarge, 0, string(decision.Outcome), "body is larger than the kind of work allows")
+	case decision.Outcome == retry.NotRun:
+		return !c.refuse(http.StatusServiceUnavailable, time.Second, err.Error())
+	case errors.Is(c.ctx.Err(), context.DeadlineExceeded):
+		return !c.fail(http.StatusGatewayTimeout, 0, OutcomeUnknown, err.Error())
+	default:
+		return !c.fail(http.StatusBadGateway, 0, OutcomeUnknown, err.Error())
+	}
+}
+
+// pass sends the target's answer to the caller. An answer that breaks off ends
+// as a broken transfer.
+func (c *call) pass(answer *http.Response, sent time.Time) {
+	copyAnswerHeaders(c.w.Header(), answer)
+	c.w.WriteHeader(answer.StatusCode)
+	err := stream(c.w, answer)
+	if err == nil {
+		failed := answer.StatusCode >= http.StatusInternalServerError
+		c.count(sent, failed, true)
+		c.conclude(answer.StatusCode, "", "")
+		return
+	}
+	var failure *transport.Error
+	if errors.As(err, &failure) && c.request.Context().Err() == nil {
+		c.count(sent, true, true)
+	}
+	c.conclude(answer.StatusCode, OutcomeUnknown, err.Error())
+	panic(http.ErrAbortHandler)
+}
+
+// count adds the try to the target's counters and, if it was run, to the
+// version's outcomes.
+func (c *call) count(sent time.Time, failed, ran bool) {
+	latency := c.handler.now().Sub(sent)
+	chosen := c.chosen.target
+	if failed {
+		chosen.Counters.Failed.Add(1)
+	} else {
+		chosen.Counters.Succeeded.Add(1)
+		c.gate.budget.Succeeded()
+	}
+	average(chosen.Counters, latency, failed)
+	recorder := c.route.Recorders[chosen.Version]
+	if ran && recorder != nil {
+		recorder.Record(latency, failed)
+	}
+}
+
+// average updates the moving average of the response time.
+func average(counters *target.Counters, latency time.Duration, failed bool) {
+	for {
+		old := counters.LatencyMicros.Load()
+		sample := max(latency.Microseconds(), 1)
+		if failed {
+			sample = max(sample, old*failureFactor)
+		}
+		next := old + (sample-old)/latencyWeight
+		if old == 0 {
+			next = sample
+		}
+		if counters.LatencyMicros.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
--- a/pkg/proxy/handler.go
+++ b/pkg/proxy/handler.go
@@ -2,90 +2,338 @@
 
 import (
 	"context"
-	"io"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
 	"sync/atomic"
+	"time"
 
+	"github.com/fireflychute/fireflychute/pkg/admission"
+	"github.com/fireflychute/fireflychute/pkg/explain"
+	"github.com/fireflychute/fireflychute/pkg/retry"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
+	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/telemetry"
+	"github.com/fireflychute/fireflychute/pkg/transport"
 )
 
-// HeaderOutcome tells on a refusal whether the call was run.
-const HeaderOutcome = "Fireflychute-Outcome"
-
 // Values of HeaderOutcome.
 const (
-	OutcomeNotRun  = "not-run"
-	OutcomeUnknown = "unknown"
+	OutcomeNotRun  = string(retry.NotRun)
+	OutcomeUnknown = string(retry.Unknown)
 )
 
+// defaultBodyBytes is the largest body of a kind of work that declares no limit.
+const defaultBodyBytes = 64 << 20
+
+// Deduplicator records that an idempotency key is used.
+type Deduplicator interface {
+	// CreateIfAbsent stores name. created is false when it was there before. With
+	// an error it is not known whether it was stored.
+	CreateIfAbsent(ctx context.Context, name string) (created bool, err error)
+}
+
+// Options are what a Handler works with. Published is required.
+type Options struct {
+	Published *atomic.Pointer[snapshot.Snapshot]
+	Client    *transport.Client
+	// Node is the name that answers carry.
+	Node         string
+	Deduplicator Deduplicator
+	// ParseReport reads the value of HeaderLoad.
+	ParseReport func(value string) (target.Report, bool)
+	// Refused is told the address of a target that refused a connection. It must not block.
+	Refused   func(address string)
+	Telemetry *telemetry.Telemetry
+	Explain   *explain.Ring
+	// Seed makes choices repeatable; 0 takes a random seed.
+	Seed uint64
+}
+
 // Handler serves callers from the published snapshot.
 type Handler struct {
-	published *atomic.Pointer[snapshot.Snapshot]
-	transport http.RoundTripper
+	options  Options
+	gates    sync.Map // service name -> *gate
+	draining atomic.Bool
+	inFlight atomic.Int64
+	randoms  sync.Pool
+	seeds    atomic.Uint64
+	now      func() time.Time
 }
 
-// NewHandler returns a handler that sends calls through transport.
-func NewHandler(published *atomic.Pointer[snapshot.Snapshot], transport http.RoundTripper) *Handler {
-	return &Handler{published: published, transport: transport}
+// NewHandler returns a handler.
+func NewHandler(options Options) *Handler {
+	if options.Client == nil {
+		options.Client = transport.NewClient()
+	}
+	if options.Explain == nil {
+		options.Explain = &explain.Ring{}
+	}
+	if options.Seed == 0 {
+		options.Seed = rand.Uint64()
+	}
+	h := &Handler{options: options, now: time.Now}
+	h.randoms.New = func() any { return rand.New(rand.NewPCG(options.Seed, h.seeds.Add(1))) }
+	return h
+}
+
+// Drain makes all further answers close their connection. Requests are still served.
+func (h *Handler) Drain() { h.draining.Store(true) }
+
+// InFlight returns the number of requests that are being served.
+func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
+
+// Recheck lets waiting requests look for units again. It is to be called after a
+// new snapshot was published.
+func (h *Handler) Recheck() {
+	h.gates.Range(func(_, value any) bool {
+		g := value.(*gate)
+		g.wake(int(g.waiting.Load()))
+		return true
+	})
+}
+
+func (h *Handler) gate(service *snapshot.Service) *gate {
+	known, ok := h.gates.Load(service.Name)
+	if !ok {
+		known, _ = h.gates.LoadOrStore(service.Name, newGate(service))
+	}
+	return known.(*gate)
+}
+
+// call is one request of a caller.
+type call struct {
+	handler *Handler
+	w       http.ResponseWriter
+	request *http.Request
+	route   *snapshot.Route
+	version *snapshot.Version
+	gate    *gate
+	caller  *snapshot.CallerGroup
+	metrics *telemetry.Route
+	span    *telemetry.Span
+	random  *rand.Rand
+	began   time.Time
+	id      string
+	depth   int
+	noRetry bool
+
+	ctx      context.Context
+	deadline time.Time
+
+	chosen  choice
+	tried   []*snapshot.Target
+	unknown int // tries with an unknown outcome
+	claimed bool
+	body    *tryBody
+	tries   []explain.Try
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	view := h.published.Load()
-	if view == nil || view.Isolated {
-		refuse(w, "node has no configuration")
-		return
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	random := h.randoms.Get().(*rand.Rand)
+	defer h.randoms.Put(random)
+	c := &call{handler: h, w: w, request: r, random: random, began: h.now()}
+	c.identify()
+	w.Header().Set(HeaderNode, h.options.Node)
+	w.Header().Set(HeaderRequestID, c.id)
+	if r.ContentLength != 0 {
+		// Without it the server reads the rest of the body before it sends an answer.
+		_ = http.NewResponseController(w).EnableFullDuplex()
 	}
-	route := view.Match(r.Method, r.URL.Path)
-	if route == nil {
-		http.NotFound(w, r)
-		return
+	// net/http drops a Content-Length beside chunks without a trace. A balancer in
+	// front that goes by the length would take what follows for its next request.
+	if h.draining.Load() || len(r.TransferEncoding) > 0 {
+		w.Header().Set("Connection", "close")
 	}
-	chosen := choose(route.Service)
-	if chosen == nil {
-		refuse(w, "no target")
+	if !c.match() {
 		return
 	}
-	h.send(w, r, route, chosen)
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	c.ctx = ctx
+	c.serve()
 }
 
-func (h *Handler) send(w http.ResponseWriter, r *http.Request, route *snapshot.Route, chosen *snapshot.Target) {
-	ctx, cancel := context.WithTimeout(r.Context(), route.Timeout())
-	defer cancel()
-	out := r.Clone(ctx)
-	out.URL.Scheme = "http"
-	out.URL.Host = chosen.Address
-	out.RequestURI = ""
-	chosen.Counters.InFlight.Add(1)
-	defer chosen.Counters.InFlight.Add(-1)
-	answer, err := h.transport.RoundTrip(out)
+func (c *call) identify() {
+	c.id = c.request.Header.Get(HeaderRequestID)
+	if c.id == "" || len(c.id) > maxIDBytes {
+		c.id = fmt.Sprintf("%016x%016x", c.random.Uint64(), c.random.Uint64())
+	}
+}
+
+// match resolves the route and checks what needs no target. It answers the
+// request itself when it returns false.
+func (c *call) match() bool {
+	view := c.handler.options.Published.Load()
+	if view == nil || view.Revision == 0 || view.Isolated {
+		return c.refuse(http.StatusServiceUnavailable, time.Second, "node has no valid configuration")
+	}
+	c.route = view.Match(c.request.Method, c.request.URL.Path)
+	if c.route == nil || c.route.Service == nil {
+		return c.refuse(http.StatusNotFound, 0, "no route")
+	}
+	c.metrics = c.handler.options.Telemetry.Route(c.route.Name)
+	c.caller = view.Caller(sourceOf(c.request))
+	var ok bool
+	c.depth, ok = readDepth(c.request.Header)
+	c.noRetry = c.request.Header.Get(HeaderNoRetry) != ""
+	switch {
+	case !ok:
+		return c.refuse(http.StatusBadRequest, 0, HeaderDepth+" is not a number")
+	case c.depth > maxDepth:
+		return c.refuse(http.StatusServiceUnavailable, 0, "chain of calls is too deep")
+	case isUpgrade(c.request):
+		return c.refuse(http.StatusNotImplemented, 0, "upgrade and tunnels are not supported")
+	case c.request.ContentLength > c.maxBody():
+		return c.refuse(http.StatusRequestEntityTooLarge, 0, "body is larger than the kind of work allows")
+	}
+	c.deadline = c.began.Add(readTimeout(c.request.Header, c.route.Timeout()))
+	c.gate = c.handler.gate(c.route.Service)
+	return true
+}
+
+func (c *call) maxBody() int64 {
+	if c.route.Work.MaxBodyBytes > 0 {
+		return int64(c.route.Work.MaxBodyBytes)
+	}
+	return defaultBodyBytes
+}
+
+func sourceOf(r *http.Request) netip.Addr {
+	source, err := netip.ParseAddrPort(r.RemoteAddr)
 	if err != nil {
-		w.Header().Set(HeaderOutcome, OutcomeUnknown)
-		http.Error(w, "target did not answer", http.StatusBadGateway)
-		return
+		return netip.Addr{}
 	}
-	defer answer.Body.Close()
-	for name, values := range answer.Header {
-		w.Header()[name] = values
+	return source.Addr().Unmap()
+}
+
+// serve tries targets until there is an answer or no further try is allowed.
+func (c *call) serve() {
+	c.span = c.handler.options.Telemetry.Tracing().Request(c.request, c.route.Name)
+	if c.request.Body != nil && c.request.Body != http.NoBody {
+		c.request.Body = http.MaxBytesReader(c.w, c.request.Body, c.maxBody())
+	}
+	c.version = pickVersion(c.route.Service, c.random)
+	for {
+		if !c.admit() || !c.claim() {
+			return
+		}
+		if c.try() {
+			return
+		}
+	}
+}
+
+// admit reserves a unit, waiting for one if needed.
+func (c *call) admit() bool {
+	if c.version == nil || len(c.candidates()) == 0 {
+		return c.giveUp(time.Second, "no target")
 	}
-	w.WriteHeader(answer.StatusCode)
-	_, err = io.Copy(w, answer.Body)
+	if c.gate.waiting.Load() == 0 && c.choose() {
+		return true
+	}
+	waiting := c.handler.now()
+	refusal := c.gate.wait(c.ctx, c.admission(), c.choose)
+	c.metrics.Time(telemetry.QueueDuration, c.handler.now().Sub(waiting))
+	if refusal != nil {
+		return c.giveUp(refusal.RetryAfter, string(refusal.Reason))
+	}
+	return true
+}
+
+func (c *call) admission() admission.Request {
+	request := admission.Request{
+		Kind: c.route.WorkName, Priority: c.route.Work.Priority, KindWeight: c.route.Work.Weight, Deadline: c.deadline,
+	}
+	if c.caller != nil {
+		request.Caller, request.CallerWeight = c.caller.Name, c.caller.Weight
+	}
+	return request
+}
+
+// claim records the idempotency key, once, before the first sending.
+func (c *call) claim() bool {
+	key := c.request.Header.Get(headerKey)
+	if c.claimed || key == "" || c.route.Work.Idempotent || !c.route.Work.Deduplicate {
+		return true
+	}
+	if c.handler.options.Deduplicator == nil {
+		c.gate.release(c.chosen.target)
+		return c.refuse(http.StatusServiceUnavailable, time.Second, "no record of idempotency keys")
+	}
+	created, err := c.handler.options.Deduplicator.CreateIfAbsent(c.ctx, c.keyName(key))
+	if err == nil && created {
+		c.claimed = true
+		return true
+	}
+	c.gate.release(c.chosen.target)
 	if err != nil {
-		panic(http.ErrAbortHandler)
+		return c.refuse(http.StatusServiceUnavailable, time.Second, "idempotency key could not be recorded; use a new key")
+	}
+	return c.fail(http.StatusConflict, 0, OutcomeUnknown, "idempotency key was used before")
+}
+
+// keyName is the digest of route, caller and key, each with its length.
+func (c *call) keyName(key string) string {
+	caller := ""
+	if c.caller != nil {
+		caller = c.caller.Name
+	}
+	digest := sha256.Sum256(fmt.Appendf(nil, "%q %q %q", c.route.Name, caller, key))
+	return hex.EncodeToString(digest[:])
+}
+
+// giveUp ends a request for which there is no further target. It was not run
+// only if no earlier try may have run it.
+func (c *call) giveUp(after time.Duration, reason string) bool {
+	if c.unknown > 0 {
+		return c.fail(http.StatusBadGateway, after, OutcomeUnknown, reason)
 	}
+	return c.refuse(http.StatusServiceUnavailable, after, reason)
+}
+
+func (c *call) refuse(status int, after time.Duration, reason string) bool {
+	c.metrics.Count(telemetry.Refusals)
+	return c.fail(status, after, OutcomeNotRun, reason)
 }
 
-func choose(service *snapshot.Service) *snapshot.Target {
-	if service == nil || len(service.Versions) == 0 || len(service.Versions[0].Targets) == 0 {
-		return nil
+// fail answers with an error of the node. It returns false for the callers' sake.
+func (c *call) fail(status int, after time.Duration, outcome, reason string) bool {
+	if after > 0 {
+		c.w.Header().Set("Retry-After", strconv.Itoa(int((after+time.Second-1)/time.Second)))
 	}
-	targets := service.Versions[0].Targets
-	return targets[rand.IntN(len(targets))]
+	c.w.Header().Set(HeaderOutcome, outcome)
+	http.Error(c.w, reason, status)
+	c.conclude(status, outcome, reason)
+	return false
 }
 
-func refuse(w http.ResponseWriter, reason string) {
-	w.Header().Set(HeaderOutcome, OutcomeNotRun)
-	w.Header().Set("Retry-After", "1")
-	http.Error(w, reason, http.StatusServiceUnavailable)
+// conclude records the end of the request.
+func (c *call) conclude(status int, outcome, reason string) {
+	c.metrics.Answered(status, c.handler.now().Sub(c.began))
+	c.span.End(status, reason)
+	ring := c.handler.options.Explain
+	eventful := outcome != "" || len(c.tries) > 1
+	if !eventful && !ring.Sampled() {
+		return
+	}
+	decision := explain.Decision{
+		RequestID: c.id, Time: c.began, Tries: c.tries, Refused: outcome == OutcomeNotRun,
+		Status: status, Outcome: outcome, Reason: reason,
+	}
+	if c.route != nil {
+		decision.Route = c.route.Name
+	}
+	if c.caller != nil {
+		decision.Caller = c.caller.Name
+	}
+	ring.Add(decision)
 }
--- /dev/null
+++ b/pkg/proxy/handler_test.go
@@ -0,0 +1,371 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+)
+
+// Guards (P5) against an answer cut short at the target reaching the caller as complete.
+func TestShortAnswerEndsAsBroken(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(t, api.WorkKindSpec{}, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "10")
+		_, _ = io.WriteString(w, "half")
+	}, func(w http.ResponseWriter, _ *http.Request) {
+		_ = http.NewResponseController(w).Flush()
+		_, _ = io.WriteString(w, "half")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	for range 10 {
+		_, _, err := b.call(t.Context(), http.MethodGet, "")
+		g.Expect(err).To(HaveOccurred())
+	}
+}
+
+// Guards (P6) against not-run for a request that an earlier try may have run.
+func TestUnknownThenRefusedIsUnknown(t *testing.T) {
+	g := NewWithT(t)
+	var runs atomic.Int32
+	once := func(w http.ResponseWriter, r *http.Request) {
+		if runs.Add(1) == 1 {
+			drop(w, r)
+		}
+		refuseNotRun(w, r)
+	}
+	b := newBench(t, api.WorkKindSpec{Idempotent: true}, once, once)
+	answer, _, err := b.call(t.Context(), http.MethodGet, "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(runs.Load()).To(Equal(int32(2)))
+	g.Expect(answer.Header.Get(HeaderOutcome)).To(Equal(OutcomeUnknown))
+	g.Expect(answer.StatusCode).To(Equal(http.StatusBadGateway))
+}
+
+// Guards against a request that was not run failing while another target is free.
+func TestNotRunIsTriedElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(t, api.WorkKindSpec{}, refuseNotRun, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, r.Header.Get(HeaderRequestID))
+	})
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(closed.Close()).To(Succeed())
+	b.add(closed.Addr().String())
+	for range 20 {
+		answer, body, err := b.call(t.Context(), http.MethodPost, "", HeaderRequestID, "q")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.StatusCode).To(Equal(http.StatusOK))
+		g.Expect(body).To(Equal("q"))
+	}
+	g.Expect(b.version.Targets[0].Counters.Leaving.Load()).To(BeTrue())
+	for _, used := range b.version.Targets {
+		g.Expect(used.Counters.InFlight.Load()).To(BeZero())
+	}
+}
+
+// Guards (P7) against a second execution of a non-idempotent request, GET included.
+func TestNonIdempotentRunsOnce(t *testing.T) {
+	g := NewWithT(t)
+	var runs atomic.Int32
+	count := func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		drop(w, r)
+	}
+	b := newBench(t, api.WorkKindSpec{}, count, count, count)
+	for i, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodDelete} {
+		answer, _, err := b.call(t.Context(), method, "", headerKey, "k")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.Header.Get(HeaderOutcome)).To(Equal(OutcomeUnknown))
+		g.Expect(runs.Load()).To(Equal(int32(i + 1)))
+	}
+}
+
+// keys is a Deduplicator in memory.
+type keys struct {
+	used sync.Map
+	err  error
+}
+
+func (k *keys) CreateIfAbsent(_ context.Context, name string) (bool, error) {
+	_, used := k.used.LoadOrStore(name, true)
+	return !used, k.err
+}
+
+// Guards (P7) against running a request again under a used key, and against
+// sending when the key could not be recorded.
+func TestIdempotencyKey(t *testing.T) {
+	g := NewWithT(t)
+	var runs atomic.Int32
+	b := newBench(t, api.WorkKindSpec{Deduplicate: true}, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+	store := &keys{}
+	b.options.Deduplicator = store
+	statuses := []int{}
+	for range 2 {
+		answer, _, err := b.call(t.Context(), http.MethodPost, "", headerKey, "k")
+		g.Expect(err).NotTo(HaveOccurred())
+		statuses = append(statuses, answer.StatusCode)
+	}
+	g.Expect(statuses).To(Equal([]int{http.StatusOK, http.StatusConflict}))
+	store.err = errors.New("platform is down")
+	answer, _, err := b.call(t.Context(), http.MethodPost, "", headerKey, "other")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(answer.Header.Get(HeaderOutcome)).To(Equal(OutcomeNotRun))
+	g.Expect(runs.Load()).To(Equal(int32(1)))
+	g.Expect(b.version.Targets[0].Counters.InFlight.Load()).To(BeZero())
+}
+
+// Guards against retries that multiply along a chain of calls.
+func TestChainDoesNotMultiply(t *testing.T) {
+	g := NewWithT(t)
+	var runs [maxDepth]atomic.Int32
+	var b *bench
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		depth, _ := readDepth(r.Header)
+		runs[depth-1].Add(1)
+		if depth == maxDepth {
+			drop(w, r)
+		}
+		answer, _, err := b.call(r.Context(), http.MethodGet, "", HeaderDepth, r.Header.Get(HeaderDepth), HeaderNoRetry, r.Header.Get(HeaderNoRetry))
+		if err != nil || answer.StatusCode != http.StatusOK {
+			drop(w, r)
+		}
+	}
+	b = newBench(t, api.WorkKindSpec{Idempotent: true}, serve, serve, serve)
+	for _, used := range b.version.Targets {
+		used.Units = 100
+	}
+	answer, _, err := b.call(t.Context(), http.MethodGet, "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(answer.StatusCode).To(Equal(http.StatusBadGateway))
+	for depth := range runs {
+		g.Expect(runs[depth].Load()).To(Equal(int32(2)), "depth %d", depth)
+	}
+	answer, _, err = b.call(t.Context(), http.MethodGet, "", HeaderDepth, "13")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(answer.Header.Get(HeaderOutcome)).To(Equal(OutcomeNotRun))
+}
+
+// Guards against headers of one connection, or with a meaning that only nodes
+// may give, passing through in either direction.
+func TestHeaders(t *testing.T) {
+	g := NewWithT(t)
+	seen := make(chan http.Header, 1)
+	b := newBench(t, api.WorkKindSpec{}, func(w http.ResponseWriter, r *http.Request) {
+		seen <- r.Header
+		w.Header().Set("Connection", "X-Hop")
+		w.Header().Set("X-Hop", "1")
+		w.Header().Set(HeaderNode, "forged")
+		w.Header().Set(HeaderOutcome, OutcomeNotRun)
+		w.Header().Set("Fireflychute-Trust", "1")
+	})
+	answer, _, err := b.call(t.Context(), http.MethodGet, "", "Connection", "X-Hop", "X-Hop", "1", "Te", "gzip",
+		"Fireflychute-Trust", "1", HeaderTimeout, "99999999", HeaderDepth, "3", "X-Kept", "1")
+	g.Expect(err).NotTo(HaveOccurred())
+	at := <-seen
+	for _, header := range []http.Header{at, answer.Header} {
+		g.Expect(header).NotTo(Or(HaveKey("X-Hop"), HaveKey("Te"), HaveKey("Fireflychute-Trust")))
+	}
+	g.Expect(at).To(And(HaveKeyWithValue("X-Kept", []string{"1"}), HaveKeyWithValue(HeaderDepth, []string{"4"}), HaveKey(HeaderNoRetry)))
+	g.Expect(at.Get(HeaderTimeout)).To(HaveLen(5))
+	g.Expect(answer.Header.Get(HeaderNode)).To(Equal("n1"))
+	g.Expect(answer.Header).NotTo(HaveKey(HeaderOutcome))
+}
+
+// Guards against request smuggling, upgrades and bodies over the limit reaching a target.
+func TestRefusedRequests(t *testing.T) {
+	const chunked = "Transfer-Encoding: chunked\r\n"
+	cases := map[string]struct {
+		text   string
+		status int
+	}{
+		"length and chunked": {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n" + chunked + "\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n", 200},
+		"two lengths":        {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef", 400},
+		"unknown encoding":   {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n", 501},
+		"upgrade":            {"GET / HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\nUpgrade: websocket\r\n\r\n", 501},
+		"declared too large": {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n", 413},
+		"chunked too large":  {"POST / HTTP/1.1\r\nHost: h\r\n" + chunked + "\r\nb\r\nhello world\r\n0\r\n\r\n", 413},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var runs atomic.Int32
+			b := newBench(t, api.WorkKindSpec{MaxBodyBytes: 10}, func(w http.ResponseWriter, r *http.Request) {
+				_, err := io.Copy(io.Discard, r.Body)
+				if err == nil {
+					runs.Add(1)
+				}
+			})
+			conn, err := net.Dial("tcp", b.node.Listener.Addr().String())
+			g.Expect(err).NotTo(HaveOccurred())
+			defer conn.Close()
+			_, _ = io.WriteString(conn, c.text)
+			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(answer.StatusCode).To(Equal(c.status))
+			if c.status != 200 {
+				g.Expect(runs.Load()).To(BeZero())
+				return
+			}
+			g.Expect(answer.Close).To(BeTrue())
+			g.Expect(runs.Load()).To(Equal(int32(1)))
+		})
+	}
+}
+
+// Guards against more requests at a target than this node's units, lost wake-ups
+// and units that are not given back.
+func TestUnitsAreNeverExceeded(t *testing.T) {
+	g := NewWithT(t)
+	var running, most atomic.Int32
+	b := newBench(t, api.WorkKindSpec{}, func(http.ResponseWriter, *http.Request) {
+		now := running.Add(1)
+		for old := most.Load(); now > old && !most.CompareAndSwap(old, now); old = most.Load() {
+		}
+		running.Add(-1)
+	})
+	b.version.Targets[0].Units = 2
+	var callers sync.WaitGroup
+	var served, refused atomic.Int32
+	for range 16 {
+		callers.Go(func() {
+			for range 50 {
+				answer, _, err := b.call(t.Context(), http.MethodGet, "")
+				if err == nil && answer.StatusCode == http.StatusOK {
+					served.Add(1)
+				} else {
+					refused.Add(1)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	g.Expect(served.Load()).To(Equal(int32(800)), "refused %d", refused.Load())
+	g.Expect(most.Load()).To(BeNumerically("<=", 2))
+	g.Expect(b.version.Targets[0].Counters.InFlight.Load()).To(BeZero())
+}
+
+// Guards against a full queue holding requests back instead of refusing them.
+func TestFullQueueRefusesAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	entered, proceed := make(chan struct{}), make(chan struct{})
+	b := newBench(t, api.WorkKindSpec{}, func(http.ResponseWriter, *http.Request) {
+		entered <- struct{}{}
+		<-proceed
+	})
+	b.version.Targets[0].Units = 1
+	b.Handler.gate(b.route.Service)
+	results := make(chan *http.Response)
+	for range 1 + minQueue + 1 {
+		go func() {
+			answer, _, _ := b.call(t.Context(), http.MethodGet, "")
+			results <- answer
+		}()
+	}
+	<-entered
+	answer := <-results
+	g.Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(answer.Header.Get(HeaderOutcome)).To(Equal(OutcomeNotRun))
+	g.Expect(answer.Header.Get("Retry-After")).NotTo(BeEmpty())
+	go func() {
+		for range entered {
+		}
+	}()
+	close(proceed)
+	for range 1 + minQueue {
+		g.Expect((<-results).StatusCode).To(Equal(http.StatusOK))
+	}
+	close(entered)
+}
+
+// Guards against work going on at the target after the caller left.
+func TestCancellationReachesTarget(t *testing.T) {
+	entered, left := make(chan struct{}), make(chan struct{})
+	b := newBench(t, api.WorkKindSpec{Idempotent: true}, func(_ http.ResponseWriter, r *http.Request) {
+		close(entered)
+		<-r.Context().Done()
+		close(left)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-entered
+		cancel()
+	}()
+	_, _, err := b.call(ctx, http.MethodGet, "")
+	NewWithT(t).Expect(err).To(HaveOccurred())
+	<-left
+}
+
+// Guards (P9) against a planned stop that cuts a request in flight, and against
+// kept connections that stay open.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	g := NewWithT(t)
+	entered, proceed := make(chan struct{}, 1), make(chan struct{})
+	b := newBench(t, api.WorkKindSpec{}, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			w.Header().Set("Content-Length", "8")
+			_, _ = io.WriteString(w, "half")
+			_ = http.NewResponseController(w).Flush()
+			entered <- struct{}{}
+			<-proceed
+			_, _ = io.WriteString(w, "half")
+		}
+	})
+	kept, err := net.Dial("tcp", b.node.Listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer kept.Close()
+	reader := bufio.NewReader(kept)
+	ask := func() *http.Response {
+		_, _ = fmt.Fprint(kept, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		answer, err := http.ReadResponse(reader, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		return answer
+	}
+	g.Expect(ask().Close).To(BeFalse())
+	body := make(chan string)
+	go func() {
+		answer, err := http.Get(b.node.URL + "/slow")
+		if err != nil {
+			body <- err.Error()
+			return
+		}
+		defer answer.Body.Close()
+		text, _ := io.ReadAll(answer.Body)
+		body <- string(text)
+	}()
+	<-entered
+	b.Drain()
+	g.Expect(ask().Close).To(BeTrue())
+	stopped := make(chan error, 1)
+	go func() { stopped <- b.node.Config.Shutdown(context.Background()) }()
+	close(proceed)
+	g.Expect(<-body).To(Equal("halfhalf"))
+	g.Expect(<-stopped).To(Succeed())
+	g.Expect(b.InFlight()).To(BeZero())
+}
+
+// Guards against work for a blocked version.
+func TestBlockedVersionGetsNothing(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(t, api.WorkKindSpec{}, func(http.ResponseWriter, *http.Request) {})
+	b.version.Blocked = &atomic.Bool{}
+	b.version.Blocked.Store(true)
+	answer := httptest.NewRecorder()
+	b.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/", strings.NewReader("")))
+	g.Expect(answer.Code).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(b.options.Explain.Find(answer.Header().Get(HeaderRequestID))).To(HaveLen(1))
+}
--- /dev/null
+++ b/pkg/proxy/headers.go
@@ -0,0 +1,112 @@
+package proxy
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// Headers with a meaning to nodes, targets and callers.
+const (
+	HeaderOutcome   = "Fireflychute-Outcome"
+	HeaderTimeout   = "Fireflychute-Timeout-Ms"
+	HeaderDepth     = "Fireflychute-Depth"
+	HeaderNoRetry   = "Fireflychute-No-Retry"
+	HeaderRequestID = "Fireflychute-Request-Id"
+	HeaderNode      = "Fireflychute-Node"
+	HeaderLoad      = "Fireflychute-Load"
+	headerKey       = "Idempotency-Key"
+	headerPrefix    = "Fireflychute-"
+)
+
+const (
+	// maxDepth is the longest chain of calls; deeper ones are taken for a loop.
+	maxDepth = 12
+	// maxIDBytes bounds a request id given by a caller.
+	maxIDBytes = 128
+)
+
+// hopByHop are the headers that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// removeHopByHop removes the headers of one connection and those that its
+// Connection header names.
+func removeHopByHop(header http.Header) {
+	for _, line := range header["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(header, name)
+	}
+}
+
+// removeOwn removes the headers of this project. Keys are canonical here.
+func removeOwn(header http.Header) {
+	for name := range header {
+		if strings.HasPrefix(name, headerPrefix) {
+			delete(header, name)
+		}
+	}
+}
+
+func isUpgrade(r *http.Request) bool {
+	return r.Method == http.MethodConnect || r.Header.Get("Upgrade") != "" || httpguts.HeaderValuesContainsToken(r.Header["Connection"], "upgrade")
+}
+
+// readDepth returns the number of calls above this one; ok is false when the
+// header is no number.
+func readDepth(header http.Header) (depth int, ok bool) {
+	value := header.Get(HeaderDepth)
+	if value == "" {
+		return 0, true
+	}
+	depth, err := strconv.Atoi(value)
+	return depth, err == nil && depth >= 0
+}
+
+// readTimeout returns the time for the call: the route's, or less if the caller says so.
+func readTimeout(header http.Header, longest time.Duration) time.Duration {
+	millis, err := strconv.ParseInt(header.Get(HeaderTimeout), 10, 64)
+	if err != nil || millis < 0 || millis >= longest.Milliseconds() {
+		return longest
+	}
+	return time.Duration(millis) * time.Millisecond
+}
+
+// headersToTarget are the caller's headers without those that are not for the
+// target, and with those that the node sets.
+func headersToTarget(c *call, remaining time.Duration) http.Header {
+	header := c.request.Header.Clone()
+	removeHopByHop(header)
+	removeOwn(header)
+	if _, set := header["User-Agent"]; !set {
+		header["User-Agent"] = nil // keeps the Transport from adding its own
+	}
+	header[HeaderTimeout] = []string{strconv.FormatInt(max(remaining.Milliseconds(), 1), 10)}
+	header[HeaderDepth] = []string{strconv.Itoa(c.depth + 1)}
+	header[HeaderNoRetry] = []string{"1"}
+	header[HeaderRequestID] = []string{c.id}
+	return header
+}
+
+// copyAnswerHeaders takes over a target's headers but for those that only nodes
+// may set. A stated outcome is kept on refusals.
+func copyAnswerHeaders(to http.Header, answer *http.Response) {
+	outcome := answer.Header.Get(HeaderOutcome)
+	removeHopByHop(answer.Header)
+	removeOwn(answer.Header)
+	for name, values := range answer.Header {
+		to[name] = values
+	}
+	if answer.StatusCode >= http.StatusInternalServerError && (outcome == OutcomeNotRun || outcome == OutcomeUnknown) {
+		to.Set(HeaderOutcome, outcome)
+	}
+}
--- /dev/null
+++ b/pkg/proxy/pick.go
@@ -0,0 +1,122 @@
+package proxy
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/balance"
+	"github.com/fireflychute/fireflychute/pkg/snapshot"
+)
+
+// mainShare is the share from which a version may also take the work of a
+// version without targets. A version under trial must not exceed its share.
+const mainShare = 0.5
+
+// pickVersion draws a version by share. Blocked versions get nothing.
+func pickVersion(service *snapshot.Service, random *rand.Rand) *snapshot.Version {
+	total := 0.0
+	for i := range service.Versions {
+		total += shareOf(&service.Versions[i])
+	}
+	left := random.Float64() * total
+	var picked *snapshot.Version
+	for i := range service.Versions {
+		version := &service.Versions[i]
+		share := shareOf(version)
+		if share <= 0 {
+			continue
+		}
+		picked = version
+		left -= share
+		if left < 0 {
+			break
+		}
+	}
+	if picked == nil || hasUnits(picked) {
+		return picked
+	}
+	return mainVersion(service)
+}
+
+func mainVersion(service *snapshot.Service) *snapshot.Version {
+	for i := range service.Versions {
+		version := &service.Versions[i]
+		if shareOf(version) >= mainShare && hasUnits(version) {
+			return version
+		}
+	}
+	return nil
+}
+
+func shareOf(version *snapshot.Version) float64 {
+	if version.Blocked != nil && version.Blocked.Load() {
+		return 0
+	}
+	return version.Share
+}
+
+func hasUnits(version *snapshot.Version) bool {
+	return slices.ContainsFunc(version.Targets, func(t *snapshot.Target) bool {
+		return t.Units > 0 && !t.Counters.Leaving.Load()
+	})
+}
+
+// choice is a chosen target, of which a unit is reserved.
+type choice struct {
+	target   *snapshot.Target
+	among    []*snapshot.Target
+	evidence balance.Evidence
+}
+
+// choose picks a target among those not tried yet and reserves a unit of it.
+func (c *call) choose() bool {
+	if shareOf(c.version) <= 0 {
+		return false
+	}
+	among := c.candidates()
+	states := make([]balance.Candidate, len(among))
+	for range among {
+		for i, target := range among {
+			states[i] = observe(target, c.handler.now())
+		}
+		index, evidence, ok := balance.Choose(states, c.route.Service.Spec.Slots, c.random)
+		if !ok {
+			return false
+		}
+		if reserve(among[index]) {
+			c.chosen = choice{target: among[index], among: among, evidence: evidence}
+			return true
+		}
+	}
+	return false
+}
+
+func (c *call) candidates() []*snapshot.Target {
+	among := make([]*snapshot.Target, 0, len(c.version.Targets))
+	for _, target := range c.version.Targets {
+		if target.Units > 0 && !target.Counters.Leaving.Load() && !slices.Contains(c.tried, target) {
+			among = append(among, target)
+		}
+	}
+	return among
+}
+
+func observe(target *snapshot.Target, now time.Time) balance.Candidate {
+	counters := target.Counters
+	candidate := balance.Candidate{
+		Units: target.Units, InFlight: int(counters.InFlight.Load()), ReportAge: -1,
+		LatencyMicros: counters.LatencyMicros.Load(), Local: target.Local,
+	}
+	report := counters.LastReport.Load()
+	if report == nil {
+		return candidate
+	}
+	candidate.Reported = report.InFlight
+	candidate.SentSince = int(counters.Sent.Load() - report.SentBefore)
+	candidate.ReportAge = time.Duration(now.Sub(started).Nanoseconds() - report.ArrivedNanos)
+	return candidate
+}
+
+// started is the origin of Report.ArrivedNanos.
+var started = time.Now()
--- a/pkg/snapshot/snapshot.go
+++ b/pkg/snapshot/snapshot.go
@@ -4,9 +4,11 @@
 	"net/netip"
 	"sort"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/outcome"
 	"github.com/fireflychute/fireflychute/pkg/target"
 )
 
@@ -29,6 +31,9 @@
 	WorkName string
 	Work     api.WorkKindSpec
 	Service  *Service
+	// Recorders has the outcome recorder of each version; a version without one
+	// is not recorded.
+	Recorders map[string]*outcome.Recorder
 }
 
 // Service is a service with the targets that may receive new work.
@@ -46,6 +51,8 @@
 	Name    string
 	Share   float64
 	Targets []*Target
+	// Blocked stops new work at once; nil means never blocked.
+	Blocked *atomic.Bool
 }
 
 // Target is a target that may receive new work from this node.
@@ -60,6 +67,9 @@
 	Local    bool
 	Cold     bool
 	Counters *target.Counters
+	// Connections is how many connections this node may have to the target; 0
+	// means as many as Units.
+	Connections int
 }
 
 // CallerGroup is a caller with its networks parsed.
@@ -112,3 +122,17 @@
 		return a.Name < b.Name
 	})
 }
+
+// Caller returns the group whose longest prefix has the address, or nil.
+func (s *Snapshot) Caller(address netip.Addr) *CallerGroup {
+	var found *CallerGroup
+	bits := -1
+	for i := range s.Callers {
+		for _, prefix := range s.Callers[i].Prefixes {
+			if prefix.Bits() > bits && prefix.Contains(address) {
+				found, bits = &s.Callers[i], prefix.Bits()
+			}
+		}
+	}
+	return found
+}
