--- a/pkg/control/build.go
+++ b/pkg/control/build.go
@@ -27,6 +27,9 @@
 	c.current = c.build(isolated)
 	c.options.Published.Store(c.current)
 	c.counters.snapshots.Add(1)
+	if c.options.OnPublish != nil {
+		c.options.OnPublish()
+	}
 	c.publishView(now)
 }
 
@@ -117,8 +120,10 @@
 		if entry.Leaving || c.set.DataCentres[entry.DataCentre].State != api.DataCentreStateIn {
 			continue
 		}
+		units := c.units(entry)
 		found[entry.Service] = append(found[entry.Service], &snapshot.Target{
-			Address: entry.Address, DataCentre: entry.DataCentre, Version: entry.Version, Units: c.units(entry),
+			Address: entry.Address, DataCentre: entry.DataCentre, Version: entry.Version, Units: units,
+			Connections: max(units, c.set.Services[entry.Service].MaxConnections/len(c.counted)),
 			Local: entry.DataCentre == c.options.Self.DataCentre, Cold: entry.Cold, Counters: entry.Counters,
 		})
 	}
--- a/pkg/control/options.go
+++ b/pkg/control/options.go
@@ -32,6 +32,8 @@
 	Store     platform.Store
 	Peers     Peers
 	Published *atomic.Pointer[snapshot.Snapshot]
+	// OnPublish is called after each new snapshot and must not block; may be nil.
+	OnPublish func()
 	// Probe makes health checks; each uses a connection of its own.
 	Probe  http.RoundTripper
 	Random *rand.Rand
