Confirm refused connections from the routine part of the budget too

The 2 highest-ranked nodes now also use their routine part, which is full while the target has traffic. The new test fails without the change.

--- a/pkg/target/probe.go
+++ b/pkg/target/probe.go
@@ -107,8 +107,7 @@
 	}
 	s.seen.refused = refused
 	idle := s.idle()
-	if p.suspect && !s.leaving() && p.confirm >= probeOperations && now.Sub(p.confirmedAt) >= confirmInterval {
-		p.confirm -= probeOperations
+	if p.suspect && !s.leaving() && now.Sub(p.confirmedAt) >= confirmInterval && p.takeConfirm() {
 		p.confirmedAt = now
 		return ProbeConfirm, true
 	}
@@ -119,6 +118,21 @@
 	return "", false
 }
 
+// takeConfirm also takes from the routine part: a node's part for confirmations
+// lasts for one probe in 200 s in a fleet of 100 nodes with a budget of 2, while the
+// highest-ranked nodes can confirm at once.
+func (p *planner) takeConfirm() bool {
+	switch {
+	case p.confirm >= probeOperations:
+		p.confirm -= probeOperations
+	case p.routine >= probeOperations:
+		p.routine -= probeOperations
+	default:
+		return false
+	}
+	return true
+}
+
 // idle tells whether the target had no traffic from this node since the last call.
 func (s *state) idle() bool {
 	sent := s.counters.Sent.Load()
--- a/pkg/target/registry_test.go
+++ b/pkg/target/registry_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/share"
 )
 
 // Guards against a node that learns of a leaving target from a peer only and keeps
@@ -112,3 +113,21 @@
 	r.Entries()[0].Counters.Broken(second)
 	g.Expect(r.Entries()[0].Counters.Held(second)).To(BeFalse())
 }
+
+// Guards against a refused target that stays in for minutes in a large fleet.
+func TestRankedNodeConfirmsAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	nodes := fleetOf(100)
+	r := NewRegistry(share.Ranked(address, nodes)[1])
+	r.ApplyList(start, listOf(1, api.VMStateLive))
+	counters := r.Entries()[0].Counters
+	for second := range 10 {
+		counters.Sent.Add(1)
+		g.Expect(r.Probes(start.Add(time.Duration(second)*time.Second), nodes, specs(2))).To(BeEmpty())
+	}
+	counters.Sent.Add(1)
+	counters.Refused.Add(1)
+	g.Expect(r.Probes(start.Add(10*time.Second), nodes, specs(2))).To(HaveLen(1))
+	r.Probed(start, ProbeResult{Address: address, Failed: true})
+	g.Expect(r.Entries()[0].Leaving).To(BeTrue())
+}
