Complete the operators' tool

chutectl could only apply. It now has the commands to look, compare, move, roll back, wait and explain, as tables or JSON, with documented exit codes.

An apply whose answer is lost goes to the next node with the same operation id, so that it is committed once. Moves and rollbacks demand the revision that was read, so that they cannot undo another operator's change.

--- /dev/null
+++ b/pkg/cli/cli.go
@@ -0,0 +1,125 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"github.com/fireflychute/fireflychute/pkg/operator"
+)
+
+// Exit codes of chutectl.
+const (
+	ExitSuccess = 0
+	// ExitFailure is a failure without a code of its own.
+	ExitFailure = 1
+	// ExitUsage is a wrong command line or a wrong declaration.
+	ExitUsage = 2
+	// ExitConflict tells that another operator was faster.
+	ExitConflict = 3
+	// ExitUnavailable tells that no node answered or the platform is down.
+	ExitUnavailable = 4
+	// ExitTimeout tells that wait ended before the condition held.
+	ExitTimeout = 5
+	// ExitDiffers tells that diff found a difference.
+	ExitDiffers = 6
+)
+
+var (
+	errUsage   = errors.New("wrong use")
+	errTimeout = errors.New("the condition did not hold in time; 'chutectl get' shows the status")
+	errDiffers = errors.New("the declaration differs from the configuration")
+)
+
+// Options are the flags of all commands.
+type Options struct {
+	Nodes  []string `long:"node" env:"CHUTECTL_NODES" env-delim:"," default:"http://127.0.0.1:8101" description:"operators' URL of a node; several are tried in order"`
+	Output string   `long:"output" short:"o" choice:"table" choice:"json" default:"table" description:"form of the output"`
+}
+
+// env is what the commands work with.
+type env struct {
+	ctx     context.Context
+	options *Options
+	out     io.Writer
+	client  func() *Client
+}
+
+// Run runs one command line and returns the exit code.
+func Run(ctx context.Context, arguments []string, out, errorOutput io.Writer) int {
+	var options Options
+	parser := flags.NewNamedParser("chutectl", flags.HelpFlag|flags.PassDoubleDash)
+	_, err := parser.AddGroup("Global options", "", &options)
+	if err != nil {
+		fmt.Fprintln(errorOutput, err)
+		return ExitFailure
+	}
+	e := &env{ctx: ctx, options: &options, out: out}
+	e.client = func() *Client { return NewClient(options.Nodes, nil) }
+	err = addCommands(parser, e)
+	if err == nil {
+		_, err = parser.ParseArgs(arguments)
+	}
+	return report(err, out, errorOutput)
+}
+
+func report(err error, out, errorOutput io.Writer) int {
+	var usage *flags.Error
+	if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+		fmt.Fprintln(out, usage.Message)
+		return ExitSuccess
+	}
+	code := exitCode(err)
+	if err != nil {
+		fmt.Fprintln(errorOutput, "chutectl: "+err.Error()+advice(code))
+	}
+	return code
+}
+
+func exitCode(err error) int {
+	var usage *flags.Error
+	var refused *operator.Error
+	switch {
+	case err == nil:
+		return ExitSuccess
+	case errors.As(err, &usage), errors.Is(err, errUsage):
+		return ExitUsage
+	case errors.Is(err, errTimeout):
+		return ExitTimeout
+	case errors.Is(err, errDiffers):
+		return ExitDiffers
+	case errors.Is(err, ErrUnreachable):
+		return ExitUnavailable
+	case errors.As(err, &refused):
+		return codeOf(refused.Code)
+	default:
+		return ExitFailure
+	}
+}
+
+func codeOf(code string) int {
+	switch code {
+	case operator.CodeConflict, operator.CodeOperationReused:
+		return ExitConflict
+	case operator.CodePlatformUnavailable, operator.CodeUnknownOutcome, operator.CodeNotReady:
+		return ExitUnavailable
+	case operator.CodeInvalid, operator.CodeBadRequest, operator.CodeTooLarge:
+		return ExitUsage
+	default:
+		return ExitFailure
+	}
+}
+
+func advice(code int) string {
+	switch code {
+	case ExitConflict:
+		return "\nLook at the difference with 'chutectl diff' and apply again."
+	case ExitUnavailable:
+		return "\nTry again, or name other nodes with --node. Repeat an apply with --operation and the id above."
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/pkg/cli/cli_test.go
@@ -0,0 +1,141 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/operator"
+	"github.com/fireflychute/fireflychute/pkg/operator/operatortest"
+)
+
+const declaration = `[dataCentre.north]
+state = "In"
+capacityPolicy = "Warn"
+[dataCentre.south]
+state = "In"
+`
+
+// fixture is a node's resource API on loopback that follows its own commits.
+type fixture struct {
+	*WithT
+	backend *operatortest.Backend
+	url     string
+	file    string
+	// lose makes the node drop that many answers to an apply after the commit.
+	lose int
+}
+
+func newFixture(t *testing.T) *fixture {
+	store := operatortest.NewStore()
+	f := &fixture{WithT: NewWithT(t), backend: &operatortest.Backend{Store: store}, file: filepath.Join(t.TempDir(), "set.toml")}
+	api := operator.NewServer(operator.Options{Store: store, Backend: f.backend})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorder := httptest.NewRecorder()
+		api.ServeHTTP(recorder, r)
+		if r.Method == http.MethodPost && recorder.Code == http.StatusOK {
+			_ = f.backend.Sync(r.Context())
+			if f.lose > 0 {
+				f.lose--
+				panic(http.ErrAbortHandler)
+			}
+		}
+		w.WriteHeader(recorder.Code)
+		_, _ = w.Write(recorder.Body.Bytes())
+	}))
+	t.Cleanup(server.Close)
+	f.url = server.URL
+	f.write(declaration)
+	return f
+}
+
+func (f *fixture) write(text string) {
+	f.Expect(os.WriteFile(f.file, []byte(text), 0o600)).To(Succeed())
+}
+
+func (f *fixture) run(arguments ...string) (int, string, string) {
+	var out, failed bytes.Buffer
+	code := Run(context.Background(), append([]string{"--node", f.url}, arguments...), &out, &failed)
+	return code, out.String(), failed.String()
+}
+
+// Guards against a lost answer that is reported as a failure, or applied twice.
+func TestLostAnswerIsRepeated(t *testing.T) {
+	f := newFixture(t)
+	f.lose = 1
+	// The second address is the same node, reached once the first answer is lost.
+	code, out, failed := f.run("--node", f.url, "-o", "json", "apply", f.file)
+	f.Expect(code).To(Equal(ExitSuccess), failed)
+	var result operator.ApplyResult
+	f.Expect(json.Unmarshal([]byte(out), &result)).To(Succeed())
+	f.Expect(result.Changes[0].Action).To(Equal(operator.ActionCreate), "the first commit's result")
+	f.Expect(result.Revision).To(Equal(f.backend.Configuration().Revision))
+	f.Expect(f.backend.Configuration().Manifest.Operations).To(HaveLen(1))
+}
+
+// Guards against a node that is down hiding the ones that work.
+func TestNodesAreTriedInOrder(t *testing.T) {
+	f := newFixture(t)
+	var out, failed bytes.Buffer
+	code := Run(context.Background(), []string{"--node", "http://127.0.0.1:1", "--node", f.url, "apply", f.file}, &out, &failed)
+	f.Expect(code).To(Equal(ExitSuccess), failed.String())
+}
+
+// Guards against a move that changes more than the state of the data centre.
+func TestDataCentreMove(t *testing.T) {
+	f := newFixture(t)
+	f.run("apply", f.file)
+	code, out, failed := f.run("datacentre", "out", "north")
+	f.Expect(code).To(Equal(ExitSuccess), failed)
+	f.Expect(out).To(ContainSubstring("data centres north"))
+	_, out, _ = f.run("get", "datacentre", "north")
+	f.Expect(out).To(ContainSubstring(`{"capacityPolicy":"Warn","state":"Out"}`))
+}
+
+// Guards against exit codes that scripts cannot rely on, and against problems
+// found by the node that do not lead back to the file.
+func TestExitCodes(t *testing.T) {
+	f := newFixture(t)
+	code, _, _ := f.run("diff", f.file)
+	f.Expect(code).To(Equal(ExitDiffers))
+	f.run("apply", f.file)
+	code, _, _ = f.run("diff", f.file)
+	f.Expect(code).To(Equal(ExitSuccess))
+	code, _, _ = f.run("apply", "--if-revision", "1", f.file)
+	f.Expect(code).To(Equal(ExitConflict))
+	code, _, _ = f.run("get", "datacentre", "gone")
+	f.Expect(code).To(Equal(ExitFailure))
+	code, _, _ = f.run("wait", "datacentre", "north", "--for", "Completed", "--timeout", "10ms")
+	f.Expect(code).To(Equal(ExitTimeout))
+	code, _, failed := f.run("apply", "/nonexistent")
+	f.Expect(code).To(Equal(ExitUsage))
+	f.Expect(failed).To(ContainSubstring("/nonexistent"))
+	f.write(declaration + "[caller.hall]\ncidrs = [\"x\"]\nweight = 1\n")
+	code, _, failed = f.run("apply", f.file)
+	f.Expect(code).To(Equal(ExitUsage))
+	f.Expect(failed).To(ContainSubstring(f.file + ":7: Caller/hall.cidrs: "))
+	code, out, _ := f.run("apply", "--help")
+	f.Expect(code).To(Equal(ExitSuccess))
+	f.Expect(out).To(ContainSubstring("Example: chutectl apply"))
+}
+
+// Guards against a wait that takes an old generation's status for the present one.
+func TestWait(t *testing.T) {
+	f := newFixture(t)
+	f.run("apply", f.file)
+	status, _ := json.Marshal(api.DataCentreStatus{Phase: api.PhaseCompleted, Generation: 1})
+	f.backend.Statuses = map[string]json.RawMessage{"DataCentre/north": status}
+	code, _, failed := f.run("wait", "datacentre", "north", "--for", "Completed")
+	f.Expect(code).To(Equal(ExitSuccess), failed)
+	f.run("datacentre", "out", "north")
+	code, _, _ = f.run("wait", "datacentre", "north", "--for", "Completed", "--timeout", "10ms")
+	f.Expect(code).To(Equal(ExitTimeout))
+}
