Test the platform stand-in with the real client

Other packages rely on the stand-in's conditional updates, watches, lost answers and rate limits, and none of it was tested. A history of concurrent conditional updates is checked for linearizability with porcupine.

The tests were seen to fail with the condition of an update ignored, stale versions read, a forgotten version watched without an error, a lost answer without its write, and unused calls that add up.

--- a/pkg/cli/cli_test.go
+++ b/pkg/cli/cli_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -31,7 +32,7 @@
 	url     string
 	file    string
 	// lose makes the node drop that many answers to an apply after the commit.
-	lose int
+	lose atomic.Int32
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -43,8 +44,7 @@
 		api.ServeHTTP(recorder, r)
 		if r.Method == http.MethodPost && recorder.Code == http.StatusOK {
 			_ = f.backend.Sync(r.Context())
-			if f.lose > 0 {
-				f.lose--
+			if f.lose.Add(-1) >= 0 {
 				panic(http.ErrAbortHandler)
 			}
 		}
@@ -70,7 +70,7 @@
 // Guards against a lost answer that is reported as a failure, or applied twice.
 func TestLostAnswerIsRepeated(t *testing.T) {
 	f := newFixture(t)
-	f.lose = 1
+	f.lose.Store(1)
 	// The second address is the same node, reached once the first answer is lost.
 	code, out, failed := f.run("--node", f.url, "-o", "json", "apply", f.file)
 	f.Expect(code).To(Equal(ExitSuccess), failed)
--- /dev/null
+++ b/testbed/platform/platform_test.go
@@ -0,0 +1,256 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	. "github.com/onsi/gomega"
+
+	client "github.com/fireflychute/fireflychute/pkg/platform"
+)
+
+const kind = "thing"
+
+// start serves a platform on loopback and returns the real client for it.
+func start(t *testing.T, readRate, writeRate float64) (*Server, *client.Client) {
+	server := NewServer(readRate, writeRate)
+	listener := httptest.NewServer(server)
+	t.Cleanup(listener.Close)
+	return server, client.NewClient(listener.URL, nil)
+}
+
+// Guards against a condition that is not enforced, or an error of another type.
+func TestConditionalUpdates(t *testing.T) {
+	g := NewWithT(t)
+	ctx := t.Context()
+	_, c := start(t, 1000, 1000)
+	_, err := c.Get(ctx, kind, "a")
+	g.Expect(err).To(MatchError(client.ErrNotFound))
+	first, err := c.Create(ctx, kind, "a", []byte("1"))
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = c.Create(ctx, kind, "a", []byte("2"))
+	g.Expect(err).To(MatchError(client.ErrConflict))
+	second, err := c.Update(ctx, kind, "a", []byte("2"), first)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(second).To(BeNumerically(">", first))
+	_, err = c.Update(ctx, kind, "a", []byte("3"), first)
+	g.Expect(err).To(MatchError(client.ErrConflict))
+	g.Expect(c.Delete(ctx, kind, "a", first)).To(MatchError(client.ErrConflict))
+	object, err := c.Get(ctx, kind, "a")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(object).To(Equal(client.Object{Kind: kind, Name: "a", Version: second, Value: []byte("2")}))
+	g.Expect(c.Delete(ctx, kind, "a", second)).To(Succeed())
+	third, err := c.Create(ctx, kind, "a", []byte("3"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(third).To(BeNumerically(">", second+1), "versions are never used twice, not even by a delete")
+}
+
+// Guards against a watch from an old version that misses events or shows them in
+// another order, and against a watch that misses a later write.
+func TestWatchFromOldVersion(t *testing.T) {
+	g := NewWithT(t)
+	ctx := t.Context()
+	_, c := start(t, 1000, 1000)
+	first, err := c.Create(ctx, kind, "a", []byte("1"))
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = c.Create(ctx, "other", "a", []byte("1"))
+	g.Expect(err).NotTo(HaveOccurred())
+	second, err := c.Update(ctx, kind, "a", []byte("2"), first)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.Delete(ctx, kind, "a", second)).To(Succeed())
+	events, version, err := c.Watch(ctx, kind, first)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(events).To(HaveLen(2))
+	g.Expect(events[0].Object.Version).To(Equal(second))
+	g.Expect(events[1].Deleted).To(BeTrue())
+	g.Expect(version).To(Equal(events[1].Object.Version))
+
+	done := make(chan []client.Event)
+	go func() {
+		events, _, _ := c.Watch(ctx, kind, version)
+		done <- events
+	}()
+	_, err = c.Create(ctx, kind, "b", []byte("1"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(<-done).To(HaveLen(1))
+}
+
+// Guards against a watch from a version that the history no longer covers
+// skipping events in silence.
+func TestWatchFromForgottenVersion(t *testing.T) {
+	g := NewWithT(t)
+	server, c := start(t, 1000, 1000)
+	for range maxHistory + 1 {
+		version := server.store.objects[key{kind, "a"}].Version
+		_, err := server.store.put(kind, "a", nil, version)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	_, _, err := c.Watch(t.Context(), kind, 0)
+	g.Expect(err).To(HaveOccurred())
+	events, _, err := c.Watch(t.Context(), kind, 1)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(events).To(HaveLen(maxHistory))
+}
+
+// Guards against a lost answer that the client takes for a failure, or whose
+// write did not take effect.
+func TestLostAnswer(t *testing.T) {
+	g := NewWithT(t)
+	ctx := t.Context()
+	server, c := start(t, 1000, 1000)
+	server.SetFaults(Faults{LoseAnswers: 1})
+	_, err := c.Create(ctx, kind, "a", []byte("1"))
+	g.Expect(err).To(MatchError(client.ErrUnknownOutcome))
+	object, err := c.Get(ctx, kind, "a")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(object.Value).To(Equal([]byte("1")))
+	_, err = c.Create(ctx, kind, "a", []byte("2"))
+	g.Expect(err).To(MatchError(client.ErrConflict), "only one answer is lost")
+}
+
+// Guards against an outage that lets calls through.
+func TestOutage(t *testing.T) {
+	g := NewWithT(t)
+	ctx := t.Context()
+	server, c := start(t, 1000, 1000)
+	server.SetFaults(Faults{Down: true})
+	_, err := c.Create(ctx, kind, "a", []byte("1"))
+	g.Expect(err).To(MatchError(client.ErrUnavailable))
+	_, _, err = c.List(ctx, kind)
+	g.Expect(err).To(MatchError(client.ErrUnavailable))
+	server.SetFaults(Faults{})
+	objects, _, err := c.List(ctx, kind)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(objects).To(BeEmpty())
+}
+
+// Guards against rates that are not enforced, or that are enforced on reads and
+// writes together.
+func TestRateLimits(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	gate := gate{reads: limiter{rate: 5, tokens: 5, last: now}, writes: limiter{rate: 2, tokens: 2, last: now}}
+	admitted := func(write bool, at time.Time) int {
+		count := 0
+		for range 20 {
+			if !gate.admit(write, at).limited {
+				count++
+			}
+		}
+		return count
+	}
+	g.Expect(admitted(true, now)).To(Equal(2))
+	g.Expect(admitted(false, now)).To(Equal(5))
+	g.Expect(admitted(true, now.Add(time.Second))).To(Equal(2))
+	g.Expect(admitted(true, now.Add(1500*time.Millisecond))).To(Equal(1))
+	g.Expect(admitted(true, now.Add(time.Hour))).To(Equal(2), "unused calls do not add up beyond one second")
+
+	_, c := start(t, 1, 1000)
+	_, _, err := c.List(t.Context(), kind)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, _, err = c.List(t.Context(), kind)
+	var call *client.CallError
+	g.Expect(err).To(MatchError(client.ErrRateLimited))
+	g.Expect(errors.As(err, &call)).To(BeTrue())
+	g.Expect(call.RetryAfter).To(Equal(time.Second))
+}
+
+// step is one call of a history: a read, or an update under a condition.
+type step struct {
+	write     bool
+	ifVersion uint64
+}
+
+// seen is its answer. An unknown write may or may not have taken effect.
+type seen struct {
+	version  uint64
+	conflict bool
+	unknown  bool
+}
+
+// register is the specification of one object: the state is its version.
+var register = porcupine.Model{
+	Init: func() any { return uint64(0) },
+	Step: func(state, input, output any) (bool, any) {
+		current, call, answer := state.(uint64), input.(step), output.(seen)
+		switch {
+		case !call.write:
+			return answer.version == current, current
+		case answer.conflict:
+			return call.ifVersion != current, current
+		default:
+			return call.ifVersion == current && answer.version > current, answer.version
+		}
+	},
+}
+
+// Guards against conditional updates that are not linearizable: two winners for
+// one version, a refused update of the current version, or a read of old state.
+func TestConcurrentUpdatesAreLinearizable(t *testing.T) {
+	const writers, rounds = 6, 40
+	g := NewWithT(t)
+	_, c := start(t, 100_000, 100_000)
+	var mu sync.Mutex
+	history := []porcupine.Operation{}
+	began := time.Now()
+	do := func(writer int, call step) seen {
+		start := time.Since(began).Nanoseconds()
+		answer := perform(t.Context(), c, call)
+		end := time.Since(began).Nanoseconds()
+		mu.Lock()
+		defer mu.Unlock()
+		history = append(history, porcupine.Operation{ClientId: writer, Input: call, Call: start, Output: answer, Return: end})
+		return answer
+	}
+	var group sync.WaitGroup
+	for writer := range writers {
+		group.Go(func() {
+			for range rounds {
+				known := do(writer, step{})
+				do(writer, step{write: true, ifVersion: known.version})
+			}
+		})
+	}
+	group.Wait()
+	wins, conflicts := 0, 0
+	for _, operation := range history {
+		answer := operation.Output.(seen)
+		g.Expect(answer.unknown).To(BeFalse())
+		if operation.Input.(step).write && answer.conflict {
+			conflicts++
+		} else if operation.Input.(step).write {
+			wins++
+		}
+	}
+	g.Expect(wins).To(BeNumerically(">", 0))
+	g.Expect(wins + conflicts).To(Equal(writers * rounds))
+	g.Expect(porcupine.CheckOperations(register, history)).To(BeTrue(), "%d wins, %d conflicts", wins, conflicts)
+}
+
+func perform(ctx context.Context, c *client.Client, call step) seen {
+	var version uint64
+	var err error
+	switch {
+	case !call.write:
+		var object client.Object
+		object, err = c.Get(ctx, kind, "a")
+		version = object.Version
+	case call.ifVersion == 0:
+		version, err = c.Create(ctx, kind, "a", []byte("x"))
+	default:
+		version, err = c.Update(ctx, kind, "a", []byte("x"), call.ifVersion)
+	}
+	switch {
+	case err == nil || errors.Is(err, client.ErrNotFound):
+		return seen{version: version}
+	case errors.Is(err, client.ErrConflict):
+		return seen{conflict: true}
+	default:
+		return seen{unknown: true}
+	}
+}
