--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
@@ -38,6 +40,9 @@
 type Options struct {
 	Nodes  []string `long:"node" env:"CHUTECTL_NODES" env-delim:"," default:"http://127.0.0.1:8101" description:"operators' URL of a node; several are tried in order"`
 	Output string   `long:"output" short:"o" choice:"table" choice:"json" default:"table" description:"form of the output"`
+	CA     string   `long:"ca" env:"CHUTECTL_CA" description:"file of the authorities in PEM that certify the nodes"`
+	Cert   string   `long:"cert" env:"CHUTECTL_CERT" description:"file of the operator's certificate in PEM"`
+	Key    string   `long:"key" env:"CHUTECTL_KEY" description:"file of the certificate's key in PEM"`
 }
 
 // env is what the commands work with.
@@ -45,25 +50,47 @@
 	ctx     context.Context
 	options *Options
 	out     io.Writer
-	client  func() *Client
+	// transport is set before a command runs; nil is the default one.
+	transport http.RoundTripper
+	pause     func(context.Context, time.Duration)
+}
+
+func (e *env) client() *Client {
+	return e.clientOf(e.options.Nodes)
+}
+
+func (e *env) clientOf(nodes []string) *Client {
+	client := NewClient(nodes, e.transport)
+	client.pause = e.pause
+	return client
 }
 
 // Run runs one command line and returns the exit code.
 func Run(ctx context.Context, arguments []string, out, errorOutput io.Writer) int {
+	return run(&env{ctx: ctx, out: out, pause: pause}, arguments, errorOutput)
+}
+
+func run(e *env, arguments []string, errorOutput io.Writer) int {
 	var options Options
+	e.options = &options
 	parser := flags.NewNamedParser("chutectl", flags.HelpFlag|flags.PassDoubleDash)
 	_, err := parser.AddGroup("Global options", "", &options)
 	if err != nil {
 		fmt.Fprintln(errorOutput, err)
 		return ExitFailure
 	}
-	e := &env{ctx: ctx, options: &options, out: out}
-	e.client = func() *Client { return NewClient(options.Nodes, nil) }
+	parser.CommandHandler = func(command flags.Commander, rest []string) error {
+		e.transport, err = options.transport()
+		if err != nil {
+			return err
+		}
+		return command.Execute(rest)
+	}
 	err = addCommands(parser, e)
 	if err == nil {
 		_, err = parser.ParseArgs(arguments)
 	}
-	return report(err, out, errorOutput)
+	return report(err, e.out, errorOutput)
 }
 
 func report(err error, out, errorOutput io.Writer) int {
--- a/pkg/cli/cli_test.go
+++ b/pkg/cli/cli_test.go
@@ -4,12 +4,16 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"encoding/pem"
+	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -62,8 +66,12 @@
 }
 
 func (f *fixture) run(arguments ...string) (int, string, string) {
+	return f.runAt(f.url, arguments...)
+}
+
+func (f *fixture) runAt(node string, arguments ...string) (int, string, string) {
 	var out, failed bytes.Buffer
-	code := Run(context.Background(), append([]string{"--node", f.url}, arguments...), &out, &failed)
+	code := Run(context.Background(), append([]string{"--node", node}, arguments...), &out, &failed)
 	return code, out.String(), failed.String()
 }
 
@@ -139,3 +147,43 @@
 	code, _, _ = f.run("wait", "datacentre", "north", "--for", "Completed", "--timeout", "10ms")
 	f.Expect(code).To(Equal(ExitTimeout))
 }
+
+// Guards against a move that undoes a change which the answering node has not
+// applied yet.
+func TestMoveAfterUnseenChange(t *testing.T) {
+	f := newFixture(t)
+	f.run("apply", f.file)
+	stale := f.backend.Configuration()
+	client := NewClient([]string{f.url}, nil)
+	unseen := api.Object{Kind: api.KindDataCentre, Name: "north", Spec: json.RawMessage(`{"state":"In","capacityPolicy":"Refuse"}`)}
+	_, err := client.Apply(t.Context(), operator.ApplyRequest{Objects: []api.Object{unseen}}, false)
+	f.Expect(err).NotTo(HaveOccurred())
+	f.backend.Restore(stale)
+	pauses := 0
+	var out, failed bytes.Buffer
+	e := &env{ctx: t.Context(), out: &out, pause: func(ctx context.Context, _ time.Duration) {
+		pauses++
+		f.Expect(f.backend.Sync(ctx)).To(Succeed())
+	}}
+	code := run(e, []string{"--node", f.url, "datacentre", "out", "north"}, &failed)
+	f.Expect(code).To(Equal(ExitSuccess), failed.String())
+	f.Expect(pauses).To(Equal(1))
+	_, text, _ := f.run("get", "datacentre", "north")
+	f.Expect(text).To(ContainSubstring(`{"capacityPolicy":"Refuse","state":"Out"}`))
+}
+
+// Guards against a node whose certificate is not checked.
+func TestTLS(t *testing.T) {
+	f := newFixture(t)
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("{}")) }))
+	defer server.Close()
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	code, _, _ := f.runAt(server.URL, "nodes")
+	f.Expect(code).To(Equal(ExitUnavailable))
+	ca := filepath.Join(t.TempDir(), "ca")
+	f.Expect(os.WriteFile(ca, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw}), 0o600)).To(Succeed())
+	code, _, failed := f.runAt(server.URL, "--ca", ca, "nodes")
+	f.Expect(code).To(Equal(ExitSuccess), failed)
+	code, _, _ = f.runAt(server.URL, "--cert", "/nonexistent", "nodes")
+	f.Expect(code).To(Equal(ExitUsage))
+}
--- a/pkg/cli/read.go
+++ b/pkg/cli/read.go
@@ -190,7 +190,7 @@
 	failure := error(ErrUnreachable)
 	for _, node := range c.env.options.Nodes {
 		var explanation operator.Explanation
-		err := NewClient([]string{node}, nil).Get(c.env.ctx, "/v1/explain/requests/"+url.PathEscape(c.Args.ID), &explanation)
+		err := c.env.clientOf([]string{node}).Get(c.env.ctx, "/v1/explain/requests/"+url.PathEscape(c.Args.ID), &explanation)
 		if err == nil {
 			return c.env.print(explanation)
 		}
--- a/pkg/operator/operatortest/backend.go
+++ b/pkg/operator/operatortest/backend.go
@@ -59,6 +59,14 @@
 	return nil
 }
 
+// Restore makes the backend serve an earlier configuration, as a node does that
+// has not applied the newest one yet.
+func (b *Backend) Restore(earlier operator.Configuration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.current = earlier
+}
+
 // Configuration implements operator.Backend.
 func (b *Backend) Configuration() operator.Configuration {
 	b.mu.Lock()
