Run the whole traffic path, limits and telemetry in the node

Cause: cmd/fireflychute still used the thin handler without retries, queues, TLS, limits or metrics, and nobody deleted unused specs.

pkg/node joins settings, telemetry, TLS, the handler, the control goroutine and the listeners. A planned stop makes the node not ready, serves on for 2 s, finishes requests in flight and then leaves the fleet. The controller deletes unused specs every 10 minutes; facts of rollouts that are no longer declared are dropped.

Ruled out: stopping the listeners first, because the platform's balancer would still send calls to them.

--- a/pkg/control/build.go
+++ b/pkg/control/build.go
@@ -124,7 +124,7 @@
 		found[entry.Service] = append(found[entry.Service], &snapshot.Target{
 			Address: entry.Address, DataCentre: entry.DataCentre, Version: entry.Version, Units: units,
 			Connections: max(units, c.set.Services[entry.Service].MaxConnections/len(c.counted)),
-			Local: entry.DataCentre == c.options.Self.DataCentre, Cold: entry.Cold, Counters: entry.Counters,
+			Local:       entry.DataCentre == c.options.Self.DataCentre, Cold: entry.Cold, Counters: entry.Counters,
 		})
 	}
 	return found
--- a/pkg/control/controller.go
+++ b/pkg/control/controller.go
@@ -8,6 +8,7 @@
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/configuration"
 	"github.com/fireflychute/fireflychute/pkg/membership"
+	"github.com/fireflychute/fireflychute/pkg/operator"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
 	"github.com/fireflychute/fireflychute/pkg/target"
 )
@@ -45,8 +46,12 @@
 	counted         []string
 	ranks           map[string]int // of this node, by target address
 	current         *snapshot.Snapshot
-	view            atomic.Pointer[view]
-	counters        Counters
+	// unusedBlobs is what the last collection of specs found unused.
+	unusedBlobs      operator.Unused
+	blobsCollectedAt time.Time
+	factsRetainedAt  time.Time
+	view             atomic.Pointer[view]
+	counters         Counters
 }
 
 // New returns a controller. Run starts it.
@@ -64,6 +69,8 @@
 		ranks:     map[string]int{},
 		startedAt: now,
 	}
+	c.blobsCollectedAt = now
+	c.factsRetainedAt = now
 	c.leases = newLeases(options.Self.Name)
 	c.rollouts = newRollouts()
 	c.moves = newMoves()
@@ -103,6 +110,7 @@
 		c.lastEvidence = now
 		c.judgeLocally(now)
 		c.publishView(now)
+		c.retainFacts(now)
 	}
 	if now.Sub(c.lastReport) >= reportTime {
 		c.lastReport = now
--- a/pkg/control/duty.go
+++ b/pkg/control/duty.go
@@ -9,9 +9,20 @@
 
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/membership"
+	"github.com/fireflychute/fireflychute/pkg/operator"
 	"github.com/fireflychute/fireflychute/pkg/platform"
 )
 
+const (
+	// blobTime is how often unused specs are looked for. A node that is behind can
+	// fetch the specs of an older manifest for at least this time.
+	blobTime = 10 * time.Minute
+	// blobCallTime bounds one collection.
+	blobCallTime = 30 * time.Second
+	// maxBlobs bounds the writes of one collection.
+	maxBlobs = 100
+)
+
 // stored is a status as the platform has it.
 type stored[T any] struct {
 	status  T
@@ -48,6 +59,7 @@
 	c.stepRollouts(now)
 	c.stepDataCentres(now)
 	c.stepFleet(now)
+	c.collectBlobs(now)
 }
 
 // loadStatuses reads all statuses. Writes that follow are conditional on the
@@ -171,3 +183,19 @@
 	next.Operation = operation()
 	writeStatus(c, platform.KindFleetStatus, fleetName, entry, next, func(time.Time) {})
 }
+
+// collectBlobs deletes specs that nothing refers to any more.
+func (c *Controller) collectBlobs(now time.Time) {
+	if now.Sub(c.blobsCollectedAt) < blobTime {
+		return
+	}
+	c.blobsCollectedAt = now
+	before := c.unusedBlobs
+	c.background(blobCallTime, func(ctx context.Context) event {
+		collection, err := operator.CollectBlobs(ctx, c.options.Store, before, maxBlobs)
+		return func(now time.Time) {
+			c.heardPlatform(now, ignoreConflict(err))
+			c.unusedBlobs = collection.Unused
+		}
+	})
+}
--- a/pkg/control/facts.go
+++ b/pkg/control/facts.go
@@ -1,9 +1,11 @@
 package control
 
 import (
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/membership"
 	"github.com/fireflychute/fireflychute/pkg/message"
 	"github.com/fireflychute/fireflychute/pkg/target"
@@ -18,6 +20,8 @@
 	prefixBlock     = "block/"
 	prefixStatus    = "status/"
 	firstFactNumber = 1
+	// retainTime is how often facts of objects that are gone are removed.
+	retainTime = time.Minute
 )
 
 // Deliver handles a message from a peer. The answer is nil unless the message
@@ -102,6 +106,37 @@
 	}
 }
 
+// retainFacts removes the facts of rollouts and generations that are no longer
+// declared. Facts of targets are bounded by the membership's own limit.
+func (c *Controller) retainFacts(now time.Time) {
+	if c.set == nil || now.Sub(c.factsRetainedAt) < retainTime {
+		return
+	}
+	c.factsRetainedAt = now
+	declared := map[string]bool{}
+	for name := range c.set.Rollouts {
+		key := rolloutKey{name, c.set.Generations[api.KindRollout+"/"+name]}
+		declared[key.fact(prefixRollout)] = true
+		declared[key.fact(prefixBlock)] = true
+	}
+	c.members.Retain(func(key string) bool {
+		ofRollout := strings.HasPrefix(key, prefixRollout) || strings.HasPrefix(key, prefixBlock)
+		return !ofRollout || declared[key] || c.newerGeneration(key)
+	})
+}
+
+// newerGeneration tells that a fact is about a generation that this node does not
+// have yet: a node that is behind must not drop a block of the next declaration.
+func (c *Controller) newerGeneration(key string) bool {
+	_, rest, _ := strings.Cut(key, "/")
+	at := strings.LastIndex(rest, "/")
+	if at < 0 {
+		return false
+	}
+	generation, err := strconv.Atoi(rest[at+1:])
+	return err == nil && generation > c.set.Generations[api.KindRollout+"/"+rest[:at]]
+}
+
 // noteTargets logs changes of targets' states.
 func (c *Controller) noteTargets(changes []target.Change) {
 	for _, change := range changes {
--- /dev/null
+++ b/pkg/node/listener.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+	"golang.org/x/net/netutil"
+
+	"github.com/fireflychute/fireflychute/pkg/settings"
+)
+
+// listener is one HTTP listener of the node.
+type listener struct {
+	address string
+	limits  settings.Limits
+	tls     *tls.Config
+	handler http.Handler
+}
+
+func milliseconds(count int) time.Duration {
+	return time.Duration(count) * time.Millisecond
+}
+
+// addListener adds an HTTP server that ends gracefully: requests in flight are
+// finished within the drain time.
+func (n *Node) addListener(group *run.Group, l listener) {
+	server := &http.Server{
+		Handler:           l.handler,
+		ReadHeaderTimeout: milliseconds(l.limits.HeaderTimeMs),
+		ReadTimeout:       milliseconds(l.limits.BodyTimeMs),
+		IdleTimeout:       milliseconds(l.limits.IdleTimeMs),
+		MaxHeaderBytes:    l.limits.MaxHeaderBytes,
+	}
+	stopped := make(chan struct{})
+	group.Add(func() error {
+		err := l.serve(server)
+		if errors.Is(err, http.ErrServerClosed) {
+			// Shutdown has begun; it ends when the requests in flight have.
+			<-stopped
+			return nil
+		}
+		return errors.Wrapf(err, "listen on %s", l.address)
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), milliseconds(n.settings.Node.DrainTimeMs))
+		defer cancel()
+		err := server.Shutdown(ctx)
+		if err != nil {
+			n.log.Warn().Err(err).Str("address", l.address).Msg("requests were still in flight at the end of the drain time")
+		}
+		close(stopped)
+	})
+}
+
+func (l listener) serve(server *http.Server) error {
+	inner, err := net.Listen("tcp", l.address)
+	if err != nil {
+		return err
+	}
+	limited := netutil.LimitListener(inner, l.limits.MaxConnections)
+	if l.tls == nil {
+		return server.Serve(limited)
+	}
+	return server.Serve(tls.NewListener(limited, l.tls))
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -22,55 +23,97 @@
 	"github.com/fireflychute/fireflychute/pkg/proxy"
 	"github.com/fireflychute/fireflychute/pkg/settings"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
+	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/telemetry"
+	"github.com/fireflychute/fireflychute/pkg/tlsconfig"
 )
 
 const (
-	readHeaderTime = 5 * time.Second
-	// drainTime bounds waiting for requests in flight at a planned stop.
-	drainTime = 30 * time.Second
 	// noticeTime is how long a stopping node serves on while not ready, so that
 	// the platform's balancer takes it out first.
 	noticeTime = 2 * time.Second
+	// exportTime bounds the last export of telemetry.
+	exportTime = 3 * time.Second
 )
 
+// Node is the parts of one node.
+type Node struct {
+	settings   settings.Settings
+	log        zerolog.Logger
+	store      platform.Store
+	telemetry  *telemetry.Telemetry
+	client     *peer.Client
+	peers      *peer.Server
+	controller *control.Controller
+	backend    *control.Backend
+	handler    *proxy.Handler
+}
+
 // Run serves until a signal ends the process. The error of a planned stop is nil.
 func Run(config settings.Settings, log zerolog.Logger) error {
+	if config.Node.MemoryLimitBytes > 0 {
+		debug.SetMemoryLimit(int64(config.Node.MemoryLimitBytes))
+	}
+	n, err := newNode(config, log)
+	if err != nil {
+		return err
+	}
+	log.Info().Msg("node started")
+	err = n.serve()
+	log.Info().Msg("node stopped")
+	return err
+}
+
+func newNode(config settings.Settings, log zerolog.Logger) (*Node, error) {
+	metrics, err := telemetry.New(context.Background(), telemetry.Options{
+		OTLP: config.Tracing.Endpoint, SampleRatio: config.Tracing.SampleRatio,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "start telemetry")
+	}
+	peerServer, peerClient, err := tlsconfig.ForListener(config.Peers.TLS)
+	if err != nil {
+		return nil, errors.Wrap(err, "certificates for peers")
+	}
+	n := &Node{
+		settings: config, log: log, telemetry: metrics,
+		store:  platform.NewClient(config.Platform.URL, nil),
+		client: peer.NewClient(config.Node.Name, peerClient),
+	}
+	n.join()
+	n.peers, err = peer.Listen(config.Peers.Listen, peerServer, n.controller.Deliver)
+	return n, err
+}
+
+// join makes the control goroutine and the handler for callers, which share the
+// published snapshot.
+func (n *Node) join() {
 	var published atomic.Pointer[snapshot.Snapshot]
 	ring := &explain.Ring{}
-	store := platform.NewClient(config.Platform.URL, nil)
-	client := peer.NewClient(config.Node.Name, nil)
-	controller := control.New(control.Options{
+	n.handler = proxy.NewHandler(proxy.Options{
+		Published: &published, Node: n.settings.Node.Name, Deduplicator: deduplicator{n.store, n.settings.Node.Name},
+		ParseReport: parseReport, Telemetry: n.telemetry, Explain: ring,
+	})
+	n.controller = control.New(control.Options{
 		Self: membership.Member{
-			Name: config.Node.Name, Address: config.Peers.Listen, DataCentre: config.Node.DataCentre,
+			Name: n.settings.Node.Name, Address: n.settings.Peers.Listen, DataCentre: n.settings.Node.DataCentre,
 			Incarnation: uint64(time.Now().UnixNano()),
 		},
-		Seeds:     config.Peers.Seeds,
-		Store:     store,
-		Peers:     client,
+		Seeds:     n.settings.Peers.Seeds,
+		Store:     n.store,
+		Peers:     n.client,
 		Published: &published,
+		OnPublish: n.handler.Recheck,
 		Probe:     &http.Transport{DisableKeepAlives: true},
-		Random:    newRandom(config.Node.Name),
-		Log:       log,
+		Random:    newRandom(n.settings.Node.Name),
+		Log:       n.log,
 	})
-	backend := control.NewBackend(controller, ring)
-	var group run.Group
-	group.Add(run.SignalHandler(context.Background(), syscall.SIGINT, syscall.SIGTERM))
-	// The interrupts run in this order: traffic ends before the node leaves the fleet.
-	addNotice(&group, backend)
-	addServer(&group, config.Callers.Listen, proxy.NewHandler(&published, http.DefaultTransport))
-	addServer(&group, config.Operators.Listen, operator.NewServer(operator.Options{Store: store, Backend: backend}))
-	addControl(&group, controller)
-	err := addPeers(&group, config.Peers.Listen, controller, client)
-	if err != nil {
-		return err
-	}
-	log.Info().Msg("node started")
-	err = group.Run()
-	log.Info().Msg("node stopped")
-	if errors.Is(err, run.ErrSignal) {
-		return nil
-	}
-	return err
+	n.backend = control.NewBackend(n.controller, ring)
+}
+
+func parseReport(value string) (target.Report, bool) {
+	report, err := target.ParseReport(value)
+	return report, err == nil
 }
 
 // newRandom returns a source that differs between nodes and starts.
@@ -80,58 +123,72 @@
 	return rand.New(rand.NewPCG(hash.Sum64(), uint64(time.Now().UnixNano())))
 }
 
-func addNotice(group *run.Group, backend *control.Backend) {
+// serve runs all parts. The interrupts run in the order in which the parts were
+// added: traffic ends before the node leaves the fleet.
+func (n *Node) serve() error {
+	operatorTLS, _, err := tlsconfig.ForListener(n.settings.Operators.TLS)
+	if err != nil {
+		return errors.Wrap(err, "certificates for operators")
+	}
+	var group run.Group
+	group.Add(run.SignalHandler(context.Background(), syscall.SIGINT, syscall.SIGTERM))
+	n.addNotice(&group)
+	n.addListener(&group, listener{
+		address: n.settings.Callers.Listen, limits: n.settings.Callers.Limits, handler: n.handler,
+	})
+	n.addListener(&group, listener{
+		address: n.settings.Operators.Listen, limits: n.settings.Operators.Limits, tls: operatorTLS,
+		handler: operator.NewServer(operator.Options{
+			Store: n.store, Backend: n.backend, Metrics: n.telemetry.Handler(),
+			MaxBodyBytes: int64(n.settings.Operators.Limits.MaxBodyBytes),
+		}),
+	})
+	n.addControl(&group)
+	n.addPeers(&group)
+	err = group.Run()
+	ctx, cancel := context.WithTimeout(context.Background(), exportTime)
+	defer cancel()
+	_ = n.telemetry.Close(ctx)
+	if errors.Is(err, run.ErrSignal) {
+		return nil
+	}
+	return err
+}
+
+// addNotice makes a stopping node not ready for a while before it stops.
+func (n *Node) addNotice(group *run.Group) {
 	stopped := make(chan struct{})
 	group.Add(func() error {
 		<-stopped
 		return nil
 	}, func(error) {
-		backend.Drain()
+		n.backend.Drain()
+		n.handler.Drain()
 		time.Sleep(noticeTime)
 		close(stopped)
 	})
 }
 
-func addServer(group *run.Group, address string, handler http.Handler) {
-	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: readHeaderTime}
-	group.Add(func() error {
-		err := server.ListenAndServe()
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return errors.Wrapf(err, "listen on %s", address)
-	}, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), drainTime)
-		defer cancel()
-		_ = server.Shutdown(ctx)
-	})
-}
-
-func addControl(group *run.Group, controller *control.Controller) {
+func (n *Node) addControl(group *run.Group) {
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan struct{})
 	group.Add(func() error {
 		defer close(stopped)
-		return controller.Run(ctx)
+		return n.controller.Run(ctx)
 	}, func(error) {
 		cancel()
 		<-stopped
 	})
 }
 
-func addPeers(group *run.Group, address string, controller *control.Controller, client *peer.Client) error {
-	server, err := peer.Listen(address, nil, controller.Deliver)
-	if err != nil {
-		return err
-	}
+func (n *Node) addPeers(group *run.Group) {
 	ended := make(chan struct{})
 	group.Add(func() error {
 		<-ended
 		return nil
 	}, func(error) {
-		client.Close()
-		_ = server.Close()
+		n.client.Close()
+		_ = n.peers.Close()
 		close(ended)
 	})
-	return nil
 }
--- a/pkg/proxy/handler.go
+++ b/pkg/proxy/handler.go
@@ -47,8 +47,8 @@
 	Deduplicator Deduplicator
 	// ParseReport reads the value of HeaderLoad.
 	ParseReport func(value string) (target.Report, bool)
-	Telemetry *telemetry.Telemetry
-	Explain   *explain.Ring
+	Telemetry   *telemetry.Telemetry
+	Explain     *explain.Ring
 	// Seed makes choices repeatable; 0 takes a random seed.
 	Seed uint64
 }
