Test the resource API against the platform stand-in

The unit tests use a store in memory. These run the real client over HTTP: answers lost up to seven times in a row, an outage, and two operators with a collector of blobs at the same time.

Seen to fail without the lookup of the operation id. Removing the manifest's update before a collection deletes is caught by the unit test only; the concurrent test passes without it.

--- /dev/null
+++ b/testbed/operator/operator_test.go
@@ -0,0 +1,127 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/operator"
+	"github.com/fireflychute/fireflychute/pkg/operator/operatortest"
+	client "github.com/fireflychute/fireflychute/pkg/platform"
+	"github.com/fireflychute/fireflychute/testbed/platform"
+)
+
+// start serves a platform on loopback and returns its client and the
+// resource API of two nodes.
+func start(t *testing.T) (*platform.Server, client.Store, []*operator.Server) {
+	stand := platform.NewServer(100_000, 100_000)
+	listener := httptest.NewServer(stand)
+	t.Cleanup(listener.Close)
+	store := client.NewClient(listener.URL, nil)
+	nodes := []*operator.Server{}
+	for range 2 {
+		nodes = append(nodes, operator.NewServer(operator.Options{Store: store, Backend: &operatortest.Backend{Store: store}}))
+	}
+	return stand, store, nodes
+}
+
+// apply declares a caller group and returns the status and the result.
+func apply(g Gomega, node *operator.Server, operation, caller string, weight int) (int, operator.ApplyResult) {
+	spec := json.RawMessage(fmt.Sprintf(`{"cidrs":["10.%d.0.0/16"],"weight":%d}`, len(caller), weight))
+	body, err := json.Marshal(operator.ApplyRequest{Operation: operation, Objects: []api.Object{{Kind: api.KindCaller, Name: caller, Spec: spec}}})
+	g.Expect(err).NotTo(HaveOccurred())
+	w := httptest.NewRecorder()
+	node.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/apply", bytes.NewReader(body)))
+	var answer operator.ApplyResult
+	g.Expect(json.Unmarshal(w.Body.Bytes(), &answer)).To(Succeed())
+	return w.Code, answer
+}
+
+// Guards against answers that the real client and the platform lose between
+// them: whatever the number, the change is committed once and known at each node.
+func TestLostAnswers(t *testing.T) {
+	for lost := range 8 {
+		g := NewWithT(t)
+		stand, _, nodes := start(t)
+		g.Expect(first(apply(g, nodes[0], "first", "a", 1))).To(Equal(http.StatusOK))
+		stand.SetFaults(platform.Faults{LoseAnswers: lost})
+		status, result := apply(g, nodes[0], "second", "a", 2)
+		stand.SetFaults(platform.Faults{})
+		again, same := apply(g, nodes[1], "second", "a", 2)
+		g.Expect(again).To(Equal(http.StatusOK))
+		g.Expect(same.Changes[0].Action).To(Equal(operator.ActionUpdate))
+		g.Expect(same.Changes[0].Generation).To(Equal(2), "committed twice")
+		if lost <= 3 {
+			g.Expect(status).To(Equal(http.StatusOK), "%d lost answers", lost)
+		}
+		if status == http.StatusOK {
+			g.Expect(same).To(Equal(result))
+		}
+	}
+}
+
+// Guards against an outage that is answered with success or changes something.
+func TestOutage(t *testing.T) {
+	g := NewWithT(t)
+	stand, _, nodes := start(t)
+	stand.SetFaults(platform.Faults{Down: true})
+	g.Expect(first(apply(g, nodes[0], "first", "a", 1))).To(Equal(http.StatusServiceUnavailable))
+	stand.SetFaults(platform.Faults{})
+	g.Expect(first(apply(g, nodes[1], "first", "a", 1))).To(Equal(http.StatusOK))
+}
+
+// Guards against operators at two nodes who change different objects and lose one
+// of the changes, while blobs are collected all the time.
+func TestConcurrentOperatorsAndCollection(t *testing.T) {
+	const rounds = 20
+	g := NewWithT(t)
+	_, store, nodes := start(t)
+	var operators, collector sync.WaitGroup
+	stop := make(chan struct{})
+	collector.Go(func() {
+		unused := operator.Unused(nil)
+		for {
+			collection, _ := operator.CollectBlobs(context.Background(), store, unused, 100)
+			unused = collection.Unused
+			select {
+			case <-stop:
+				return
+			default:
+			}
+		}
+	})
+	for i, node := range nodes {
+		operators.Go(func() {
+			name := []string{"a", "bb"}[i]
+			for round := range rounds {
+				// Weights repeat, so that collected blobs are needed again.
+				for {
+					status, _ := apply(NewWithT(t), node, fmt.Sprintf("%s-%d", name, round), name, 1+round%3)
+					if status == http.StatusOK {
+						break
+					}
+				}
+			}
+		})
+	}
+	operators.Wait()
+	close(stop)
+	collector.Wait()
+	backend := &operatortest.Backend{Store: store}
+	g.Expect(backend.Sync(t.Context())).To(Succeed(), "a blob of the manifest is missing")
+	entries := backend.Configuration().Manifest.Entries
+	g.Expect(entries["Caller/a"].Generation).To(Equal(rounds))
+	g.Expect(entries["Caller/bb"].Generation).To(Equal(rounds))
+}
+
+func first(status int, _ operator.ApplyResult) int {
+	return status
+}
