Read the rest of a refused request's body within the handler

Cause: a POST that was refused before its body was read made net/http log "panic serving: invalid concurrent Body.Read call" and drop the connection. In full duplex, net/http closes the body after it has stopped its background read; reading the rest then starts another one beside the read of the next request. Seen while trying the operators' commands with the platform down.

The handler now flushes the answer and closes the body itself. Answers of the node carry a length, so they are complete when flushed. A connection whose body does not arrive in time is aborted.

Ruled out: closing the connection after every refusal with a body, which costs a connection per refused request under overload.

The new test fails without the call; go test -race ./pkg/proxy passes.

--- a/pkg/proxy/body.go
+++ b/pkg/proxy/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -51,3 +52,15 @@
 	b.detached = true
 	return b.touched, b.failure
 }
+
+// finishBody sends the answer and closes the body, which reads a short rest of it,
+// so that the connection can be used again. net/http closes it after the handler
+// too, but in full duplex it then reads from the connection at two places and
+// panics.
+func finishBody(w http.ResponseWriter, body io.Closer) {
+	_ = http.NewResponseController(w).Flush()
+	if body.Close() != nil {
+		// The rest did not arrive in time. It must not be taken for the next request.
+		panic(http.ErrAbortHandler)
+	}
+}
--- a/pkg/proxy/handler.go
+++ b/pkg/proxy/handler.go
@@ -151,13 +151,16 @@
 	if h.draining.Load() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
-	if !c.match() {
-		return
+	body := r.Body
+	if c.match() {
+		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+		defer cancel()
+		c.ctx = ctx
+		c.serve()
+	}
+	if r.ContentLength != 0 {
+		finishBody(w, body)
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
-	defer cancel()
-	c.ctx = ctx
-	c.serve()
 }
 
 func (c *call) identify() {
@@ -308,8 +311,15 @@
 	if after > 0 {
 		c.w.Header().Set("Retry-After", strconv.Itoa(int((after+time.Second-1)/time.Second)))
 	}
-	c.w.Header().Set(HeaderOutcome, outcome)
-	http.Error(c.w, reason, status)
+	header := c.w.Header()
+	header.Set(HeaderOutcome, outcome)
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set("X-Content-Type-Options", "nosniff")
+	// With a length the answer is complete when it is flushed, before the rest of
+	// the request's body is read.
+	header.Set("Content-Length", strconv.Itoa(len(reason)+1))
+	c.w.WriteHeader(status)
+	_, _ = fmt.Fprintln(c.w, reason)
 	c.conclude(status, outcome, reason)
 	return false
 }
--- a/pkg/proxy/handler_test.go
+++ b/pkg/proxy/handler_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -393,3 +395,30 @@
 	g.Expect(answer.Code).To(Equal(http.StatusServiceUnavailable))
 	g.Expect(b.options.Explain.Find(answer.Header().Get(HeaderRequestID))).To(HaveLen(1))
 }
+
+// Guards against a refusal of a request with an unread body that breaks the
+// connection or is logged as a panic of the server.
+func TestRefusedBodyKeepsTheConnection(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(t, api.WorkKindSpec{})
+	var logged bytes.Buffer
+	server := httptest.NewUnstartedServer(b.Handler)
+	server.Config.ErrorLog = log.New(&logged, "", 0)
+	server.Start()
+	connection, err := net.Dial("tcp", server.Listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	for range 20 {
+		_, err = io.WriteString(connection, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello")
+		g.Expect(err).NotTo(HaveOccurred())
+		answer, err := http.ReadResponse(reader, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, answer.Body)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(answer.ContentLength).To(BeNumerically(">", 0))
+	}
+	server.Close()
+	g.Expect(logged.String()).To(BeEmpty())
+}
