Recognise refused connections of probes

Cause: the node probes with net/http's Transport, whose errors are no transport.Error, so a refused probe was never seen as refused. A target without traffic that had crashed stayed cold and listed for good: seen with a killed target stand-in, still Cold after 8 s.

ECONNREFUSED decides now, as in pkg/transport. Every failure to dial was ruled out, because it can be this node's own (too many open files).

--- a/pkg/control/probes.go
+++ b/pkg/control/probes.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/target"
-	"github.com/fireflychute/fireflychute/pkg/transport"
 )
 
 // probeTime bounds one health check.
@@ -64,8 +64,8 @@
 	return target.ProbeResult{Address: address, Report: report}
 }
 
-// refused tells that the connection could not be set up.
+// refused tells that the target refused the connection. Other failures to connect
+// can be this node's own, for example too many open files.
 func refused(err error) bool {
-	var failure *transport.Error
-	return errors.As(err, &failure) && failure.Step == transport.StepDial
+	return errors.Is(err, syscall.ECONNREFUSED)
 }
--- a/pkg/target/probe.go
+++ b/pkg/target/probe.go
@@ -41,7 +41,7 @@
 	Address string
 	// Failed tells that no valid answer arrived in time.
 	Failed bool
-	// Refused tells that the connection could not be set up.
+	// Refused tells that the target refused the connection.
 	Refused bool
 	// Report is valid unless the probe failed.
 	Report Report
