Read a status again when it changed within the cache time

The operator was woken by the change, read the status that was cached for a second, and then waited for a change that did not come.

A cached status now holds only for the status version under which it was read. wait also reads every 5 s, because a read at the moment of a change can fail.

The new test fails without the comparison.

--- a/pkg/cli/read.go
+++ b/pkg/cli/read.go
@@ -16,6 +16,10 @@
 // watchTime is how long one call of watch waits at the node.
 const watchTime = 20 * time.Second
 
+// waitPollTime is how often wait reads the status when no change is announced: the
+// node may have failed to read it when it changed.
+const waitPollTime = 5 * time.Second
+
 type getCommand struct {
 	Args struct {
 		Kind string `positional-arg-name:"KIND" required:"yes"`
@@ -105,7 +109,7 @@
 	bounded.ctx = ctx
 	var known operator.WatchResult
 	for {
-		next, err := c.env.client().Watch(ctx, known, min(c.Timeout, watchTime))
+		next, err := c.env.client().Watch(ctx, known, min(c.Timeout, waitPollTime))
 		if err == nil {
 			known = next
 			var resource operator.Resource
--- a/pkg/control/backend.go
+++ b/pkg/control/backend.go
@@ -36,9 +36,12 @@
 }
 
 type cachedStatus struct {
-	at    time.Time
-	value json.RawMessage
-	found bool
+	at time.Time
+	// version is the status version of this node before the read. After a change
+	// a cached status would hide it from an operator who was woken by it.
+	version uint64
+	value   json.RawMessage
+	found   bool
 }
 
 var _ operator.Backend = (*Backend)(nil)
@@ -54,11 +57,8 @@
 
 // Configuration implements operator.Backend.
 func (b *Backend) Configuration() operator.Configuration {
-	v := b.controller.view.Load()
-	result := v.configuration
-	v.changes.mu.Lock()
-	defer v.changes.mu.Unlock()
-	result.StatusVersion = v.changes.statusVersion
+	result := b.controller.view.Load().configuration
+	result.StatusVersion = b.statusVersion()
 	return result
 }
 
@@ -80,10 +80,11 @@
 
 func (b *Backend) readStatus(kind, name string) (json.RawMessage, bool) {
 	key := kind + "/" + name
+	version := b.statusVersion()
 	b.mu.Lock()
 	cached := b.statuses[key]
 	b.mu.Unlock()
-	if time.Since(cached.at) < statusCacheTime {
+	if cached.version == version && time.Since(cached.at) < statusCacheTime {
 		return cached.value, cached.found
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), statusReadTime)
@@ -92,13 +93,20 @@
 	if err != nil && !notFound(err) {
 		return cached.value, cached.found
 	}
-	fresh := cachedStatus{at: time.Now(), value: object.Value, found: err == nil}
+	fresh := cachedStatus{at: time.Now(), version: version, value: object.Value, found: err == nil}
 	b.mu.Lock()
 	b.statuses[key] = fresh
 	b.mu.Unlock()
 	return fresh.value, fresh.found
 }
 
+func (b *Backend) statusVersion() uint64 {
+	changes := b.controller.view.Load().changes
+	changes.mu.Lock()
+	defer changes.mu.Unlock()
+	return changes.statusVersion
+}
+
 // Fleet implements operator.Backend.
 func (b *Backend) Fleet() (api.FleetStatus, bool) {
 	var status api.FleetStatus
--- /dev/null
+++ b/pkg/control/backend_test.go
@@ -0,0 +1,32 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/explain"
+	"github.com/fireflychute/fireflychute/pkg/operator/operatortest"
+	"github.com/fireflychute/fireflychute/pkg/platform"
+)
+
+// Guards against a status that changed within the cache time being shown as before
+// to the operator who was woken by the change: wait would then miss it.
+func TestChangedStatusIsReadAgain(t *testing.T) {
+	g := NewWithT(t)
+	store := operatortest.NewStore()
+	version, err := store.Create(context.Background(), platform.KindRolloutStatus, "r", []byte(`{"phase":"Progressing"}`))
+	g.Expect(err).NotTo(HaveOccurred())
+	c := New(Options{Store: store, Random: rand.New(rand.NewPCG(1, 1))})
+	backend := NewBackend(c, &explain.Ring{})
+	before, _ := backend.Status(api.KindRollout, "r")
+	g.Expect(string(before)).To(ContainSubstring("Progressing"))
+	_, err = store.Update(context.Background(), platform.KindRolloutStatus, "r", []byte(`{"phase":"RolledBack"}`), version)
+	g.Expect(err).NotTo(HaveOccurred())
+	c.view.Load().statusChanged()
+	after, _ := backend.Status(api.KindRollout, "r")
+	g.Expect(string(after)).To(ContainSubstring("RolledBack"))
+}
