Show the age of load reports, and version and latency of explained tries

Cause: the columns existed in 'chutectl top' and 'chutectl explain request', but nothing filled them: an age of 0s made each report look current, and queued requests were missing from the reported load that the API documents.

The monotonic origin moves from pkg/proxy to pkg/target, next to the field that uses it. A try reads the clock once more.

Ruled out: removing the columns, which operators need to judge a report.

--- a/pkg/cli/output.go
+++ b/pkg/cli/output.go
@@ -144,7 +144,7 @@
 	writer := newTable("service", "address", "data centre", "version", "state", "units", "in flight", "reported", "report age", "latency")
 	for _, t := range targets {
 		latency := time.Duration(t.LatencyMicros) * time.Microsecond
-		writer.AppendRow(table.Row{t.Service, t.Address, t.DataCentre, t.Version, t.State, t.Units, t.InFlight, t.Reported, t.ReportAge, latency})
+		writer.AppendRow(table.Row{t.Service, t.Address, t.DataCentre, t.Version, t.State, t.Units, t.InFlight, t.Reported, t.ReportAge.Round(time.Millisecond), latency})
 	}
 	return writer.Render()
 }
--- a/pkg/control/backend.go
+++ b/pkg/control/backend.go
@@ -153,7 +153,8 @@
 		load.State = "Leaving"
 	}
 	if report := entry.Counters.LastReport.Load(); report != nil {
-		load.Reported = report.InFlight
+		load.Reported = report.InFlight + report.Queued
+		load.ReportAge = time.Duration(target.Nanos(time.Now()) - report.ArrivedNanos)
 	}
 	return load
 }
--- a/pkg/control/backend_test.go
+++ b/pkg/control/backend_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -11,6 +12,7 @@
 	"github.com/fireflychute/fireflychute/pkg/explain"
 	"github.com/fireflychute/fireflychute/pkg/operator/operatortest"
 	"github.com/fireflychute/fireflychute/pkg/platform"
+	"github.com/fireflychute/fireflychute/pkg/target"
 )
 
 // Guards against a status that changed within the cache time being shown as before
@@ -30,3 +32,14 @@
 	after, _ := backend.Status(api.KindRollout, "r")
 	g.Expect(string(after)).To(ContainSubstring("RolledBack"))
 }
+
+// Guards against an age of load reports that operators see as 0, which makes an old
+// report look current.
+func TestReportAgeIsShown(t *testing.T) {
+	g := NewWithT(t)
+	counters := &target.Counters{}
+	counters.Reported(&target.Report{InFlight: 2, Queued: 1, ArrivedNanos: target.Nanos(time.Now().Add(-time.Second))})
+	load := targetLoad(target.Entry{Counters: counters}, 1)
+	g.Expect(load.Reported).To(Equal(3))
+	g.Expect(load.ReportAge).To(BeNumerically(">=", time.Second))
+}
--- a/pkg/control/explain.go
+++ b/pkg/control/explain.go
@@ -29,5 +29,8 @@
 	if err != nil {
 		evidence = nil
 	}
-	return operator.Try{Target: try.Target, Candidates: try.Candidates, Evidence: string(evidence), Outcome: try.Failure}
+	return operator.Try{
+		Target: try.Target, Version: try.Version, Candidates: try.Candidates, Evidence: string(evidence),
+		Outcome: try.Failure, LatencyMicros: try.LatencyMicros,
+	}
 }
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -17,10 +17,13 @@
 // Try is one try of a request.
 type Try struct {
 	Target     string   `json:"target"`
+	Version    string   `json:"version"`
 	Candidates []string `json:"candidates"`
 	// Evidence is what the choice rests on.
 	Evidence any    `json:"evidence,omitempty"`
 	Failure  string `json:"failure,omitempty"`
+	// LatencyMicros is the time to the answer's header or to the failure.
+	LatencyMicros int64 `json:"latencyMicros"`
 }
 
 // Decision is what was decided on one request. Tries are in their order, the last
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -34,6 +34,7 @@
 	sent := c.handler.now()
 	chosen.Counters.Sent.Add(1)
 	answer, err := c.handler.options.Client.Do(c.outgoing(header), connectionsTo(chosen))
+	c.tries[len(c.tries)-1].LatencyMicros = c.handler.now().Sub(sent).Microseconds()
 	if err != nil {
 		span.End(0, err.Error())
 		return c.failed(err, sent)
@@ -54,7 +55,7 @@
 	if len(c.tried) > 1 {
 		c.metrics.Count(telemetry.Retries)
 	}
-	c.tries = append(c.tries, explain.Try{Target: c.chosen.target.Address, Candidates: c.names(), Evidence: c.chosen.evidence})
+	c.tries = append(c.tries, explain.Try{Target: c.chosen.target.Address, Version: c.chosen.target.Version, Candidates: c.names(), Evidence: c.chosen.evidence})
 }
 
 func (c *call) names() []string {
--- a/pkg/proxy/pick.go
+++ b/pkg/proxy/pick.go
@@ -7,6 +7,7 @@
 
 	"github.com/fireflychute/fireflychute/pkg/balance"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
+	"github.com/fireflychute/fireflychute/pkg/target"
 )
 
 // mainShare is the share from which a version may also take the work of a
@@ -103,8 +104,8 @@
 	return among
 }
 
-func takesWork(target *snapshot.Target, nowNanos int64) bool {
-	return target.Units > 0 && !target.Counters.Leaving.Load() && !target.Counters.Held(nowNanos)
+func takesWork(t *snapshot.Target, nowNanos int64) bool {
+	return t.Units > 0 && !t.Counters.Leaving.Load() && !t.Counters.Held(nowNanos)
 }
 
 func observe(target *snapshot.Target, now time.Time) balance.Candidate {
@@ -123,10 +124,4 @@
 	return candidate
 }
 
-// started is the origin of the local monotonic time in target.Counters.
-var started = time.Now()
-
-// nanos returns a time as nanoseconds since started.
-func nanos(now time.Time) int64 {
-	return now.Sub(started).Nanoseconds()
-}
+func nanos(now time.Time) int64 { return target.Nanos(now) }
--- a/pkg/target/counters.go
+++ b/pkg/target/counters.go
@@ -25,6 +25,15 @@
 	holdInterval = 2 * time.Second
 )
 
+// started is the origin of the local monotonic time.
+var started = time.Now()
+
+// Nanos returns a time as local monotonic time: nanoseconds since the start of
+// this process.
+func Nanos(now time.Time) int64 {
+	return now.Sub(started).Nanoseconds()
+}
+
 // Counters is the state of one target that traffic goroutines update. One value
 // lives as long as the target is known and is shared by all snapshots.
 type Counters struct {
