Export the control state as metrics and document all metrics

Cause: the counters of the control goroutine were not exported, refusals had no reason, and those without a route or by targets were not counted at all.

The table in pkg/telemetry now also holds metrics that are read when they are collected: revision, fleet size, readiness, isolation, leases held, targets by state, levels of cold targets, probes per target, queue lengths, calls on the platform, bytes and drops of messages between nodes. docs/metrics.md is generated from the table and checked by make generated. Refusals are counted by a fixed set of reasons; the texts of failed tries hold addresses.

Ruled out: a level per warm target, which makes 1,500 series per node at full size, and counting in the request path.

--- a/Makefile
+++ b/Makefile
@@ -37,4 +37,4 @@
 
 # Fails when the committed generated code is not what the schemas give.
 generated: generate
-	git diff --exit-code -- '*_gen.go' docs/settings.md
+	git diff --exit-code -- '*_gen.go' docs/settings.md docs/metrics.md
--- a/pkg/control/backend.go
+++ b/pkg/control/backend.go
@@ -144,13 +144,7 @@
 func targetLoad(entry target.Entry, units int) operator.TargetLoad {
 	load := operator.TargetLoad{
 		Address: entry.Address, Service: entry.Service, DataCentre: entry.DataCentre, Version: entry.Version,
-		State: "Warm", Units: units, InFlight: int(entry.Counters.InFlight.Load()), LatencyMicros: entry.Counters.LatencyMicros.Load(),
-	}
-	if entry.Cold {
-		load.State = "Cold"
-	}
-	if entry.Leaving {
-		load.State = "Leaving"
+		State: entry.State(), Units: units, InFlight: int(entry.Counters.InFlight.Load()), LatencyMicros: entry.Counters.LatencyMicros.Load(),
 	}
 	if report := entry.Counters.LastReport.Load(); report != nil {
 		load.Reported = report.InFlight + report.Queued
--- a/pkg/control/controller.go
+++ b/pkg/control/controller.go
@@ -50,6 +50,7 @@
 	unusedBlobs      operator.Unused
 	blobsCollectedAt time.Time
 	factsRetainedAt  time.Time
+	probesByTarget   map[string]uint64
 	view             atomic.Pointer[view]
 	counters         Counters
 }
@@ -68,6 +69,8 @@
 		config:    configuration.NewStore(),
 		ranks:     map[string]int{},
 		startedAt: now,
+
+		probesByTarget: map[string]uint64{},
 	}
 	c.blobsCollectedAt = now
 	c.factsRetainedAt = now
--- a/pkg/control/facts.go
+++ b/pkg/control/facts.go
@@ -141,6 +141,9 @@
 func (c *Controller) noteTargets(changes []target.Change) {
 	for _, change := range changes {
 		c.dirty = true
+		if change.Kind == target.Forgotten {
+			delete(c.probesByTarget, change.Address)
+		}
 		if change.Kind == target.Left || change.Kind == target.Returned {
 			c.options.Log.Info().Str("target", change.Address).Str("reason", string(change.Reason)).
 				Bool("leaving", change.Kind == target.Left).Msg("target state changed")
--- a/pkg/control/probes.go
+++ b/pkg/control/probes.go
@@ -36,6 +36,7 @@
 	}
 	for _, probe := range c.registry.Probes(now, c.members.Counted(now), c.services()) {
 		c.counters.probes.Add(1)
+		c.probesByTarget[probe.Address]++
 		c.background(probeTime, func(ctx context.Context) event {
 			result := c.probe(ctx, probe.Address)
 			return func(now time.Time) { c.shareTargets(now, c.registry.Probed(now, result)) }
--- a/pkg/control/view.go
+++ b/pkg/control/view.go
@@ -23,6 +23,7 @@
 	entries       []target.Entry
 	units         map[string]int
 	loads         map[string]datacentre.ServiceLoad
+	state         State
 	changes       *changes
 }
 
@@ -70,6 +71,7 @@
 		entries:       entries,
 		units:         c.unitsOf(entries),
 		loads:         serviceLoads(old.loads, entries),
+		state:         c.state(),
 		changes:       old.changes,
 	}
 	c.view.Store(next)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -82,7 +82,10 @@
 	}
 	n.join()
 	n.peers, err = peer.Listen(config.Peers.Listen, peerServer, n.controller.Deliver)
-	return n, err
+	if err != nil {
+		return nil, err
+	}
+	return n, metrics.Observe(n.observe)
 }
 
 // join makes the control goroutine and the handler for callers, which share the
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -27,6 +27,7 @@
 	closed  bool
 	calls   uint64
 	dropped uint64
+	traffic Traffic
 	done    sync.WaitGroup
 }
 
@@ -66,6 +67,11 @@
 	return c.dropped
 }
 
+// Traffic returns the bytes on the connections of the client.
+func (c *Client) Traffic() *Traffic {
+	return &c.traffic
+}
+
 // Close ends all connections and waits for their goroutines.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -30,6 +30,7 @@
 // connection is one TCP connection with the calls that await answers on it.
 type connection struct {
 	net.Conn
+	traffic *Traffic
 	mu      sync.Mutex
 	ended   bool
 	waiting map[uint64]chan result
@@ -74,7 +75,9 @@
 	}
 	if err := write(l.active, item.frame); err != nil {
 		l.disconnect()
+		return
 	}
+	l.client.traffic.sent.Add(uint64(len(item.frame)))
 }
 
 func (l *link) connect() error {
@@ -89,7 +92,7 @@
 	if err != nil {
 		return failed("dial", l.to, err)
 	}
-	l.active = &connection{Conn: raw, waiting: map[uint64]chan result{}}
+	l.active = &connection{Conn: raw, traffic: &l.client.traffic, waiting: map[uint64]chan result{}}
 	l.client.done.Add(1)
 	go func(c *connection) {
 		defer l.client.done.Done()
@@ -126,7 +129,7 @@
 // read passes answers to their calls until the connection ends. Without the read
 // loop, a connection closed by the peer would be noticed only at the second write.
 func (c *connection) read() {
-	reader := bufio.NewReader(c)
+	reader := bufio.NewReader(c.traffic.reader(c))
 	for {
 		received, err := readFrame(reader)
 		if err != nil {
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -32,6 +32,7 @@
 	mu          sync.Mutex
 	connections map[net.Conn]bool
 	closed      bool
+	traffic     Traffic
 	done        sync.WaitGroup
 }
 
@@ -55,6 +56,11 @@
 	return s.listener.Addr().String()
 }
 
+// Traffic returns the bytes on the connections of the server.
+func (s *Server) Traffic() *Traffic {
+	return &s.traffic
+}
+
 // Close stops the server, ends its connections and waits for its handlers.
 func (s *Server) Close() error {
 	s.mu.Lock()
@@ -118,7 +124,7 @@
 		}
 		connection = secured
 	}
-	reader := bufio.NewReader(connection)
+	reader := bufio.NewReader(s.traffic.reader(connection))
 	for s.exchange(connection, reader) == nil {
 	}
 }
@@ -141,7 +147,11 @@
 	if err != nil {
 		return err
 	}
-	return write(connection, frame)
+	err = write(connection, frame)
+	if err == nil {
+		s.traffic.sent.Add(uint64(len(frame)))
+	}
+	return err
 }
 
 // readNext waits for a frame up to idleTimeout.
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -27,7 +27,7 @@
 	c.tried = append(c.tried, chosen)
 	c.note()
 	if c.ctx.Err() != nil {
-		return !c.giveUp(time.Second, "deadline passed or caller left")
+		return !c.giveUp(time.Second, reasonDeadline)
 	}
 	header := headersToTarget(c, c.deadline.Sub(c.handler.now()))
 	span := c.span.Try(chosen.Address, c.names(), fmt.Sprintf("%+v", c.chosen.evidence), header)
@@ -121,6 +121,7 @@
 	copyAnswerHeaders(c.w.Header(), answer)
 	c.w.WriteHeader(answer.StatusCode)
 	_ = stream(c.w, answer)
+	c.metrics.Refused(labelTarget)
 	c.conclude(answer.StatusCode, OutcomeNotRun, decision.Reason)
 	return true
 }
@@ -156,7 +157,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(bodyErr, &tooLarge):
-		return !c.fail(http.StatusRequestEntityTooLarge, 0, string(decision.Outcome), "body is larger than the kind of work allows")
+		return !c.fail(http.StatusRequestEntityTooLarge, 0, string(decision.Outcome), reasonTooLarge)
 	case decision.Outcome == retry.NotRun:
 		return !c.refuse(http.StatusServiceUnavailable, time.Second, err.Error())
 	case errors.Is(c.ctx.Err(), context.DeadlineExceeded):
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -66,7 +66,7 @@
 func (g *gate) wakeOne() {
 	next, expired := g.queue.Pop(time.Now())
 	for _, ticket := range expired {
-		g.tell(ticket, &admission.Refusal{Reason: "deadline passed", RetryAfter: time.Second})
+		g.tell(ticket, &admission.Refusal{Reason: admission.ReasonExpired, RetryAfter: time.Second})
 	}
 	if next != nil {
 		g.tell(next, nil)
@@ -95,7 +95,7 @@
 		case refusal = <-told:
 		case <-ctx.Done():
 			g.leave(ticket)
-			return &admission.Refusal{Reason: "deadline passed or caller left", RetryAfter: time.Second}
+			return &admission.Refusal{Reason: reasonDeadline, RetryAfter: time.Second}
 		}
 		if refusal != nil {
 			return refusal
--- a/pkg/proxy/handler.go
+++ b/pkg/proxy/handler.go
@@ -86,6 +86,16 @@
 // InFlight returns the number of requests that are being served.
 func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
 
+// Waiting returns how many requests wait for a unit, by service.
+func (h *Handler) Waiting() map[string]int {
+	waiting := map[string]int{}
+	h.gates.Range(func(service, value any) bool {
+		waiting[service.(string)] = int(value.(*gate).waiting.Load())
+		return true
+	})
+	return waiting
+}
+
 // Recheck lets waiting requests look for units again. It is to be called after a
 // new snapshot was published.
 func (h *Handler) Recheck() {
@@ -175,11 +185,11 @@
 func (c *call) match() bool {
 	view := c.handler.options.Published.Load()
 	if view == nil || view.Revision == 0 || view.Isolated {
-		return c.refuse(http.StatusServiceUnavailable, time.Second, "node has no valid configuration")
+		return c.refuse(http.StatusServiceUnavailable, time.Second, reasonNoConfiguration)
 	}
 	c.route = view.Match(c.request.Method, c.request.URL.Path)
 	if c.route == nil || c.route.Service == nil {
-		return c.refuse(http.StatusNotFound, 0, "no route")
+		return c.refuse(http.StatusNotFound, 0, reasonNoRoute)
 	}
 	c.metrics = c.handler.options.Telemetry.Route(c.route.Name)
 	c.caller = view.Caller(sourceOf(c.request))
@@ -188,13 +198,13 @@
 	c.noRetry = c.request.Header.Get(HeaderNoRetry) != ""
 	switch {
 	case !ok:
-		return c.refuse(http.StatusBadRequest, 0, HeaderDepth+" is not a number")
+		return c.refuse(http.StatusBadRequest, 0, reasonBadDepth)
 	case c.depth > maxDepth:
-		return c.refuse(http.StatusServiceUnavailable, 0, "chain of calls is too deep")
+		return c.refuse(http.StatusServiceUnavailable, 0, reasonTooDeep)
 	case isUpgrade(c.request):
-		return c.refuse(http.StatusNotImplemented, 0, "upgrade and tunnels are not supported")
+		return c.refuse(http.StatusNotImplemented, 0, reasonUpgrade)
 	case c.request.ContentLength > c.maxBody():
-		return c.refuse(http.StatusRequestEntityTooLarge, 0, "body is larger than the kind of work allows")
+		return c.refuse(http.StatusRequestEntityTooLarge, 0, reasonTooLarge)
 	}
 	c.deadline = c.began.Add(readTimeout(c.request.Header, c.route.Timeout()))
 	c.gate = c.handler.gate(c.route.Service)
@@ -236,7 +246,7 @@
 // admit reserves a unit, waiting for one if needed.
 func (c *call) admit() bool {
 	if c.version == nil || len(c.candidates()) == 0 {
-		return c.giveUp(time.Second, "no target")
+		return c.giveUp(time.Second, reasonNoTarget)
 	}
 	if c.gate.waiting.Load() == 0 && c.choose() {
 		return true
@@ -268,7 +278,7 @@
 	}
 	if c.handler.options.Deduplicator == nil {
 		c.gate.release(c.chosen.target)
-		return c.refuse(http.StatusServiceUnavailable, time.Second, "no record of idempotency keys")
+		return c.refuse(http.StatusServiceUnavailable, time.Second, reasonNoRecord)
 	}
 	created, err := c.handler.options.Deduplicator.CreateIfAbsent(c.ctx, c.keyName(key))
 	if err == nil && created {
@@ -277,7 +287,7 @@
 	}
 	c.gate.release(c.chosen.target)
 	if err != nil {
-		return c.refuse(http.StatusServiceUnavailable, time.Second, "idempotency key could not be recorded; use a new key")
+		return c.refuse(http.StatusServiceUnavailable, time.Second, reasonNotRecorded)
 	}
 	return c.fail(http.StatusConflict, 0, OutcomeUnknown, "idempotency key was used before")
 }
@@ -302,7 +312,10 @@
 }
 
 func (c *call) refuse(status int, after time.Duration, reason string) bool {
-	c.metrics.Count(telemetry.Refusals)
+	if c.metrics == nil {
+		c.metrics = c.handler.options.Telemetry.Route("")
+	}
+	c.metrics.Refused(refusalLabel(reason))
 	return c.fail(status, after, OutcomeNotRun, reason)
 }
 
--- a/pkg/proxy/handler_test.go
+++ b/pkg/proxy/handler_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/telemetry"
 )
 
 // Guards (P5) against an answer cut short at the target reaching the caller as complete.
@@ -422,3 +423,22 @@
 	server.Close()
 	g.Expect(logged.String()).To(BeEmpty())
 }
+
+// Guards against refusals that are counted without their reason, or not at all when
+// there is no route.
+func TestRefusalsAreCountedByReason(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(t, api.WorkKindSpec{})
+	metrics, err := telemetry.New(t.Context(), telemetry.Options{})
+	g.Expect(err).NotTo(HaveOccurred())
+	b.options.Telemetry = metrics
+	_, _, err = b.call(t.Context(), http.MethodGet, "")
+	g.Expect(err).NotTo(HaveOccurred())
+	b.route.Spec.Methods = []string{http.MethodPut}
+	_, _, err = b.call(t.Context(), http.MethodGet, "")
+	g.Expect(err).NotTo(HaveOccurred())
+	page := httptest.NewRecorder()
+	metrics.Handler().ServeHTTP(page, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	g.Expect(page.Body.String()).To(MatchRegexp(`refusals_total\{.*reason="no_target",route="r"\} 1`))
+	g.Expect(page.Body.String()).To(MatchRegexp(`refusals_total\{.*reason="no_route",route=""\} 1`))
+}
--- a/pkg/proxy/main_test.go
+++ b/pkg/proxy/main_test.go
@@ -23,7 +23,7 @@
 	version *snapshot.Version
 }
 
-func newBench(t *testing.T, work api.WorkKindSpec, targets ...http.HandlerFunc) *bench {
+func newBench(t testing.TB, work api.WorkKindSpec, targets ...http.HandlerFunc) *bench {
 	t.Helper()
 	if work.TimeoutMs == 0 {
 		work.TimeoutMs = 60_000
--- a/pkg/target/registry.go
+++ b/pkg/target/registry.go
@@ -70,6 +70,18 @@
 	Counters *Counters
 }
 
+// State names the state: Warm, Cold or Leaving.
+func (e Entry) State() string {
+	switch {
+	case e.Leaving:
+		return "Leaving"
+	case e.Cold:
+		return "Cold"
+	default:
+		return "Warm"
+	}
+}
+
 // Registry derives the states of all targets. Only the control goroutine uses it.
 type Registry struct {
 	self        string
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -1,5 +1,7 @@
 package telemetry
 
+import "strings"
+
 // Type is the type of a metric.
 type Type string
 
@@ -7,6 +9,9 @@
 const (
 	Counter   Type = "counter"
 	Histogram Type = "histogram"
+	// ObservedCounter and Gauge are read when metrics are collected, see Observe.
+	ObservedCounter Type = "observed counter"
+	Gauge           Type = "gauge"
 )
 
 // Metric describes one metric.
@@ -15,8 +20,23 @@
 	Type    Type
 	Unit    string
 	Meaning string
+	// Labels are the names of the labels.
+	Labels []string
+}
+
+// PrometheusName returns the name under which the metric is served on the page of
+// metrics.
+func (m Metric) PrometheusName() string {
+	name := strings.ReplaceAll(m.Name, ".", "_") + unitSuffixes[m.Unit]
+	if m.Type == Counter || m.Type == ObservedCounter {
+		name += "_total"
+	}
+	return name
 }
 
+// unitSuffixes are what the Prometheus exporter adds for a unit.
+var unitSuffixes = map[string]string{"s": "_seconds", "By": "_bytes"}
+
 // Names of the metrics.
 const (
 	Requests        = "fireflychute.requests"
@@ -25,14 +45,52 @@
 	Retries         = "fireflychute.retries"
 	Refusals        = "fireflychute.refusals"
 	QueueDuration   = "fireflychute.queue.duration"
+
+	QueueLength      = "fireflychute.queue.length"
+	InFlight         = "fireflychute.requests.in_flight"
+	Revision         = "fireflychute.config.revision"
+	FleetSize        = "fireflychute.fleet.size"
+	Ready            = "fireflychute.node.ready"
+	Isolated         = "fireflychute.node.isolated"
+	Leases           = "fireflychute.leases.held"
+	Targets          = "fireflychute.targets"
+	TargetLevel      = "fireflychute.target.level"
+	Probes           = "fireflychute.probes"
+	PlatformCalls    = "fireflychute.platform.calls"
+	PlatformFailures = "fireflychute.platform.failures"
+	Snapshots        = "fireflychute.snapshots"
+	VersionsBlocked  = "fireflychute.versions.blocked"
+	FactsDropped     = "fireflychute.facts.dropped"
+	PeerSent         = "fireflychute.peer.sent"
+	PeerReceived     = "fireflychute.peer.received"
+	PeerDropped      = "fireflychute.peer.dropped"
 )
 
-// Metrics is the table of all metrics, from which the instruments are made.
+// Metrics is the table of all metrics, from which the instruments and the page
+// docs/metrics.md are made.
 var Metrics = []Metric{
-	{Requests, Counter, "{request}", "Requests answered, by route and class of status."},
-	{RequestDuration, Histogram, "s", "Time from a request's arrival to the end of its answer, by route and class of status."},
-	{Tries, Counter, "{try}", "Requests sent to targets, retries included, by route."},
-	{Retries, Counter, "{try}", "Tries after the first one, by route."},
-	{Refusals, Counter, "{request}", "Requests refused as not run, by route."},
-	{QueueDuration, Histogram, "s", "Time that a request waited for a free unit, by route; only requests that waited."},
+	{Requests, Counter, "{request}", "Requests answered, by route and class of status.", []string{"route", "class"}},
+	{RequestDuration, Histogram, "s", "Time from a request's arrival to the end of its answer, by route and class of status.", []string{"route", "class"}},
+	{Tries, Counter, "{try}", "Requests sent to targets, retries included, by route.", []string{"route"}},
+	{Retries, Counter, "{try}", "Tries after the first one, by route.", []string{"route"}},
+	{Refusals, Counter, "{request}", "Requests refused as not run, by route and reason. The route is empty when there was none.", []string{"route", "reason"}},
+	{QueueDuration, Histogram, "s", "Time that a request waited for a free unit, by route; only requests that waited.", []string{"route"}},
+	{QueueLength, Gauge, "{request}", "Requests that wait for a free unit, by service.", []string{"service"}},
+	{InFlight, Gauge, "{request}", "Requests of callers that are being served.", nil},
+	{Revision, Gauge, "{revision}", "Revision of the configuration that the node has applied.", nil},
+	{FleetSize, Gauge, "{node}", "Nodes by which limits are divided, this one included.", nil},
+	{Ready, Gauge, "{node}", "1 when the node takes new calls.", nil},
+	{Isolated, Gauge, "{node}", "1 when the node hears neither the platform nor peers.", nil},
+	{Leases, Gauge, "{lease}", "1 for each lease that the node holds.", []string{"lease"}},
+	{Targets, Gauge, "{target}", "Targets by service and state (Warm, Cold, Leaving).", []string{"service", "state"}},
+	{TargetLevel, Gauge, "{unit}", "Ramp level of each cold target: units of all nodes together.", []string{"target"}},
+	{Probes, ObservedCounter, "{probe}", "Health checks made, by target.", []string{"target"}},
+	{PlatformCalls, ObservedCounter, "{call}", "Calls on the platform, watches included.", nil},
+	{PlatformFailures, ObservedCounter, "{call}", "Calls on the platform that failed.", nil},
+	{Snapshots, ObservedCounter, "{snapshot}", "Snapshots published to traffic.", nil},
+	{VersionsBlocked, ObservedCounter, "{version}", "Versions that the node stopped sending to on its own evidence.", nil},
+	{FactsDropped, ObservedCounter, "{fact}", "Facts dropped because they were too large or the table was full.", nil},
+	{PeerSent, ObservedCounter, "By", "Bytes of messages written to peers, without TLS and TCP.", nil},
+	{PeerReceived, ObservedCounter, "By", "Bytes of messages read from peers, without TLS and TCP.", nil},
+	{PeerDropped, ObservedCounter, "{message}", "Messages to peers dropped because a queue was full.", nil},
 }
--- a/pkg/telemetry/telemetry.go
+++ b/pkg/telemetry/telemetry.go
@@ -41,12 +41,13 @@
 	tracing  *Tracing
 	counters map[string]metric.Int64Counter
 	times    map[string]metric.Float64Histogram
+	observed map[string]metric.Int64Observable
 	routes   sync.Map // route name -> *Route
 }
 
 // New starts telemetry. Close must be called to export what is left.
 func New(ctx context.Context, options Options) (*Telemetry, error) {
-	t := &Telemetry{registry: prometheus.NewRegistry(), counters: map[string]metric.Int64Counter{}, times: map[string]metric.Float64Histogram{}}
+	t := &Telemetry{registry: prometheus.NewRegistry(), counters: map[string]metric.Int64Counter{}, times: map[string]metric.Float64Histogram{}, observed: map[string]metric.Int64Observable{}}
 	reader, err := exporter.New(exporter.WithRegisterer(t.registry))
 	if err != nil {
 		return nil, errors.Wrap(err, "prometheus exporter")
@@ -86,6 +87,10 @@
 			t.counters[m.Name], err = meter.Int64Counter(m.Name, metric.WithUnit(m.Unit), metric.WithDescription(m.Meaning))
 		case Histogram:
 			t.times[m.Name], err = meter.Float64Histogram(m.Name, metric.WithUnit(m.Unit), metric.WithDescription(m.Meaning), metric.WithExplicitBucketBoundaries(bounds...))
+		case ObservedCounter:
+			t.observed[m.Name], err = meter.Int64ObservableCounter(m.Name, metric.WithUnit(m.Unit), metric.WithDescription(m.Meaning))
+		case Gauge:
+			t.observed[m.Name], err = meter.Int64ObservableGauge(m.Name, metric.WithUnit(m.Unit), metric.WithDescription(m.Meaning))
 		}
 		if err != nil {
 			return errors.Wrapf(err, "metric %s", m.Name)
@@ -94,6 +99,33 @@
 	return nil
 }
 
+// Record takes one value of an observed counter or gauge of the table. labels are
+// pairs of name and value.
+type Record func(name string, value int64, labels ...string)
+
+// Observe registers a function that is called at each collection of metrics.
+func (t *Telemetry) Observe(read func(record Record)) error {
+	instruments := []metric.Observable{}
+	for _, instrument := range t.observed {
+		instruments = append(instruments, instrument)
+	}
+	_, err := t.meters.Meter(scope).RegisterCallback(func(_ context.Context, observer metric.Observer) error {
+		read(func(name string, value int64, labels ...string) {
+			observer.ObserveInt64(t.observed[name], value, metric.WithAttributes(pairs(labels)...))
+		})
+		return nil
+	}, instruments...)
+	return errors.Wrap(err, "register metrics")
+}
+
+func pairs(labels []string) []attribute.KeyValue {
+	attributes := make([]attribute.KeyValue, 0, len(labels)/2)
+	for i := 0; i+1 < len(labels); i += 2 {
+		attributes = append(attributes, attribute.String(labels[i], labels[i+1]))
+	}
+	return attributes
+}
+
 // Handler serves the metrics in the Prometheus format.
 func (t *Telemetry) Handler() http.Handler {
 	return promhttp.HandlerFor(t.registry, promhttp.HandlerOpts{})
@@ -119,6 +151,7 @@
 // Route records nothing.
 type Route struct {
 	telemetry *Telemetry
+	name      string
 	add       []metric.AddOption
 	record    []metric.RecordOption
 	classAdd  [6][]metric.AddOption // by first digit of the status
@@ -141,7 +174,7 @@
 func (t *Telemetry) newRoute(name string) *Route {
 	route := attribute.String("route", name)
 	plain := metric.WithAttributeSet(attribute.NewSet(route))
-	r := &Route{telemetry: t, add: []metric.AddOption{plain}, record: []metric.RecordOption{plain}}
+	r := &Route{telemetry: t, name: name, add: []metric.AddOption{plain}, record: []metric.RecordOption{plain}}
 	for class := range r.classAdd {
 		option := metric.WithAttributeSet(attribute.NewSet(route, attribute.Int("class", class)))
 		r.classAdd[class] = []metric.AddOption{option}
@@ -157,6 +190,15 @@
 	}
 }
 
+// Refused counts a request that was refused as not run. reason is one of a few
+// fixed words.
+func (r *Route) Refused(reason string) {
+	if r != nil {
+		attributes := metric.WithAttributes(attribute.String("route", r.name), attribute.String("reason", reason))
+		r.telemetry.counters[Refusals].Add(context.Background(), 1, attributes)
+	}
+}
+
 // Time records a duration in a histogram of the table.
 func (r *Route) Time(name string, duration time.Duration) {
 	if r != nil {
--- a/pkg/telemetry/telemetry_test.go
+++ b/pkg/telemetry/telemetry_test.go
@@ -17,16 +17,25 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	route := telemetry.Route("r")
 	for _, m := range Metrics {
-		if m.Type == Counter {
+		switch m.Type {
+		case Counter:
 			route.Count(m.Name)
-		} else {
+		case Histogram:
 			route.Time(m.Name, time.Second)
 		}
 	}
+	err = telemetry.Observe(func(record Record) {
+		for _, m := range Metrics {
+			if m.Type == ObservedCounter || m.Type == Gauge {
+				record(m.Name, 1)
+			}
+		}
+	})
+	g.Expect(err).NotTo(HaveOccurred())
 	page := httptest.NewRecorder()
 	telemetry.Handler().ServeHTTP(page, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	for _, m := range Metrics {
-		g.Expect(page.Body.String()).To(ContainSubstring(m.Meaning))
+		g.Expect(page.Body.String()).To(ContainSubstring("# HELP " + m.PrometheusName() + " " + m.Meaning))
 	}
 }
 
