--- a/cmd/fireflychute/check.go
+++ b/cmd/fireflychute/check.go
@@ -12,8 +12,8 @@
 // certificates that they name, without starting the node. It returns the exit code.
 func check(path string, arguments []string) int {
 	if len(arguments) != 1 || arguments[0] != "check" {
-		fmt.Fprintln(os.Stderr, "usage: fireflychute [check] --settings FILE")
-		return 2
+		fmt.Fprintln(os.Stderr, "fireflychute: unknown command; see --help")
+		return exitUsage
 	}
 	config, err := settings.Load(path)
 	if err == nil {
@@ -24,8 +24,8 @@
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return 2
+		return exitUsage
 	}
 	fmt.Println(path + ": correct")
-	return 0
+	return exitSuccess
 }
--- a/cmd/fireflychute/main.go
+++ b/cmd/fireflychute/main.go
@@ -2,7 +2,9 @@
 package main
 
 import (
+	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
@@ -11,28 +13,90 @@
 	"github.com/fireflychute/fireflychute/pkg/settings"
 )
 
+// Exit codes.
+const (
+	exitSuccess = 0
+	exitFailure = 1
+	// exitUsage is a wrong command line or wrong settings.
+	exitUsage = 2
+)
+
 type options struct {
-	Settings string `long:"settings" required:"true" description:"settings file in TOML"`
+	Settings string `long:"settings" value-name:"FILE" description:"settings file in TOML"`
+	Version  bool   `long:"version" description:"print the version and end"`
 }
 
+const help = `Runs a node of the load balancer until SIGTERM or SIGINT, which start a planned stop.
+With 'check' it reads the settings and the certificates that they name, and ends.
+
+Examples:
+  fireflychute --settings /etc/fireflychute/node.toml
+  fireflychute check --settings /etc/fireflychute/node.toml`
+
 func main() {
-	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(arguments []string) int {
 	var opts options
-	arguments, err := flags.Parse(&opts)
+	parser := flags.NewNamedParser("fireflychute", flags.Default)
+	parser.Usage = "[check] --settings FILE"
+	parser.LongDescription = help
+	_, err := parser.AddGroup("Options", "", &opts)
 	if err != nil {
-		os.Exit(2)
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailure
+	}
+	rest, err := parser.ParseArgs(arguments)
+	switch {
+	case flags.WroteHelp(err):
+		return exitSuccess
+	case err != nil:
+		return exitUsage
+	case opts.Version:
+		fmt.Println("fireflychute", version())
+		return exitSuccess
+	case opts.Settings == "":
+		fmt.Fprintln(os.Stderr, "fireflychute: --settings FILE must be given; see --help")
+		return exitUsage
+	case len(rest) > 0:
+		return check(opts.Settings, rest)
+	default:
+		return serve(opts.Settings)
+	}
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
 	}
-	if len(arguments) > 0 {
-		os.Exit(check(opts.Settings, arguments))
+	return info.Main.Version
+}
+
+// serve runs the node.
+func serve(path string) int {
+	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+	config, err := settings.Load(path)
+	if err != nil {
+		log.Error().Err(err).Msg("settings refused")
+		return exitUsage
 	}
-	config, err := settings.Load(opts.Settings)
+	log, err = leveled(log, config.Log.Level)
 	if err != nil {
 		log.Error().Err(err).Msg("settings refused")
-		os.Exit(2)
+		return exitUsage
 	}
 	err = node.Run(config, log.With().Str("node", config.Node.Name).Logger())
 	if err != nil {
 		log.Error().Err(err).Msg("node ended")
-		os.Exit(1)
+		return exitFailure
 	}
+	return exitSuccess
+}
+
+// leveled returns a logger that drops what is less severe than the level.
+func leveled(log zerolog.Logger, level string) (zerolog.Logger, error) {
+	parsed, err := zerolog.ParseLevel(level)
+	return log.Level(parsed), err
 }
