--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -71,28 +71,33 @@
 }
 
 func run(e *env, arguments []string, errorOutput io.Writer) int {
-	var options Options
-	e.options = &options
-	parser := flags.NewNamedParser("chutectl", flags.HelpFlag|flags.PassDoubleDash)
-	_, err := parser.AddGroup("Global options", "", &options)
+	parser, err := newParser(e)
 	if err != nil {
 		fmt.Fprintln(errorOutput, err)
 		return ExitFailure
 	}
 	parser.CommandHandler = func(command flags.Commander, rest []string) error {
-		e.transport, err = options.transport()
+		e.transport, err = e.options.transport()
 		if err != nil {
 			return err
 		}
 		return command.Execute(rest)
 	}
-	err = addCommands(parser, e)
-	if err == nil {
-		_, err = parser.ParseArgs(arguments)
-	}
+	_, err = parser.ParseArgs(arguments)
 	return report(err, e.out, errorOutput)
 }
 
+// newParser returns the parser of all commands, which set e.options.
+func newParser(e *env) (*flags.Parser, error) {
+	e.options = &Options{}
+	parser := flags.NewNamedParser("chutectl", flags.HelpFlag|flags.PassDoubleDash)
+	_, err := parser.AddGroup("Global options", "", e.options)
+	if err != nil {
+		return nil, err
+	}
+	return parser, addCommands(parser, e)
+}
+
 func report(err error, out, errorOutput io.Writer) int {
 	var usage *flags.Error
 	if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
