Name the service where a change leaves too little room

Cause: 'chutectl datacentre out middle' was refused with "none of 6 slots would remain" once per service, without the service's name. The test of the refusal now demands it.

--- a/pkg/cli/output.go
+++ b/pkg/cli/output.go
@@ -84,7 +84,7 @@
 	lines = append(lines, "affected: services "+join(result.Traffic.Services)+"; routes "+join(result.Traffic.Routes)+
 		"; data centres "+join(result.Traffic.DataCentres)+"; callers "+join(result.Traffic.Callers))
 	for _, warning := range result.Warnings {
-		lines = append(lines, "warning: "+warning.Reason)
+		lines = append(lines, "warning: "+warning.String())
 	}
 	if result.DryRun {
 		return strings.Join(append(lines, fmt.Sprintf("dry run against revision %d; nothing was changed", result.Revision)), "\n")
--- a/pkg/operator/backend.go
+++ b/pkg/operator/backend.go
@@ -61,6 +61,14 @@
 	Refuse bool `json:"refuse"`
 }
 
+// String names the service and the reason.
+func (p CapacityProblem) String() string {
+	if p.Service == "" {
+		return p.Reason
+	}
+	return "service " + p.Service + ": " + p.Reason
+}
+
 // TargetLoad is the load of one target as one node sees it.
 type TargetLoad struct {
 	Address    string `json:"address"`
--- a/pkg/operator/server_test.go
+++ b/pkg/operator/server_test.go
@@ -103,6 +103,7 @@
 	_, status, failure := f.apply(move)
 	f.Expect(status).To(Equal(http.StatusUnprocessableEntity))
 	f.Expect(failure.Capacity).To(ConsistOf(problem))
+	f.Expect(failure.Error()).To(ContainSubstring("service text: lacks 5 units"), "the service must be named")
 	problem.Refuse = false
 	f.Expect(f.mustApply(move).Warnings).To(ConsistOf(problem))
 }
--- a/pkg/operator/types.go
+++ b/pkg/operator/types.go
@@ -139,7 +139,7 @@
 		text += "\n" + e.Problems.Error()
 	}
 	for _, problem := range e.Capacity {
-		text += "\n" + problem.Reason
+		text += "\n" + problem.String()
 	}
 	return text
 }
