Make explain, get and watch of chutectl say what happened

The evidence has a line per compared target, an old phase names its generation, and an interrupted watch ends with 0. JSON output is unchanged.

--- a/pkg/cli/cli_test.go
+++ b/pkg/cli/cli_test.go
@@ -18,6 +18,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/balance"
 	"github.com/fireflychute/fireflychute/pkg/operator"
 	"github.com/fireflychute/fireflychute/pkg/operator/operatortest"
 )
@@ -215,3 +216,43 @@
 	f.down.Store(writeRounds)
 	f.Expect(run(e, append(start, "--dry-run"), &failed)).To(Equal(ExitUnavailable))
 }
+
+// Guards against an interrupted watch that ends as a failure.
+func TestInterruptedWatchSucceeds(t *testing.T) {
+	f := newFixture(t)
+	f.run("apply", f.file)
+	ctx, cancel := context.WithCancel(t.Context())
+	out := writerFunc(func(p []byte) (int, error) {
+		cancel()
+		return len(p), nil
+	})
+	var failed bytes.Buffer
+	f.Expect(Run(ctx, []string{"--node", f.url, "watch", "datacentre"}, out, &failed)).To(Equal(ExitSuccess), failed.String())
+	f.Expect(failed.String()).To(BeEmpty())
+}
+
+type writerFunc func(p []byte) (int, error)
+
+func (w writerFunc) Write(p []byte) (int, error) { return w(p) }
+
+// Guards against the phase of the previous generation shown as the present one.
+func TestOldPhaseIsMarked(t *testing.T) {
+	g := NewWithT(t)
+	item := operator.Resource{Object: api.Object{Kind: "DataCentre", Name: "north", Generation: 2, Status: json.RawMessage(`{"generation":1,"phase":"Completed"}`)}}
+	g.Expect(renderResource(item)).To(ContainSubstring("Completed (of generation 1)"))
+	item.Generation = 1
+	g.Expect(renderResource(item)).NotTo(ContainSubstring("of generation"))
+}
+
+// Guards against evidence that operators cannot read, and against evidence of
+// another version of the node that the tool cannot show at all.
+func TestEvidenceIsReadable(t *testing.T) {
+	g := NewWithT(t)
+	evidence, err := json.Marshal(balance.Evidence{Free: 2, Count: 1, Threshold: 6, Samples: [balance.Samples]balance.Sample{{Index: 1, Load: 0.5, LatencyMicros: 7000}}})
+	g.Expect(err).NotTo(HaveOccurred())
+	try := operator.Try{Candidates: []string{"a", "b"}, Evidence: string(evidence)}
+	g.Expect(describeEvidence(try)).To(ContainSubstring("b: load 0.5, score 0.0, latency 7ms"))
+	try.Candidates = nil
+	g.Expect(describeEvidence(try)).To(Equal(try.Evidence))
+	g.Expect(describeEvidence(operator.Try{Evidence: "text"})).To(Equal("text"))
+}
--- a/pkg/cli/output.go
+++ b/pkg/cli/output.go
@@ -9,6 +9,7 @@
 	"github.com/jedib0t/go-pretty/v6/table"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/balance"
 	"github.com/fireflychute/fireflychute/pkg/operator"
 )
 
@@ -107,11 +108,20 @@
 		if status.SharePercent != nil {
 			share = fmt.Sprintf("%g%%", *status.SharePercent)
 		}
-		writer.AppendRow(table.Row{item.Kind, item.Name, item.Generation, status.Phase, share, shortConditions(item.Conditions)})
+		writer.AppendRow(table.Row{item.Kind, item.Name, item.Generation, phaseOf(item, status), share, shortConditions(item.Conditions)})
 	}
 	return writer.Render()
 }
 
+// phaseOf marks a phase that belongs to an earlier generation, so that the end of
+// the previous move is not taken for that of the present one.
+func phaseOf(item operator.Resource, status commonStatus) string {
+	if status.Generation != 0 && status.Generation < item.Generation {
+		return fmt.Sprintf("%s (of generation %d)", status.Phase, status.Generation)
+	}
+	return string(status.Phase)
+}
+
 func shortConditions(conditions []api.Condition) string {
 	short := []string{}
 	for _, condition := range conditions {
@@ -153,12 +163,30 @@
 	writer := newTable("try", "target", "version", "outcome", "latency", "candidates", "evidence")
 	for i, t := range e.Tries {
 		latency := time.Duration(t.LatencyMicros) * time.Microsecond
-		writer.AppendRow(table.Row{i + 1, t.Target, t.Version, t.Outcome, latency, strings.Join(t.Candidates, ", "), t.Evidence})
+		writer.AppendRow(table.Row{i + 1, t.Target, t.Version, t.Outcome, latency, strings.Join(t.Candidates, "\n"), describeEvidence(t)})
 	}
 	return fmt.Sprintf("request %s at node %s, %s\nroute %s, caller %s: status %d, outcome %s: %s\n%s",
 		e.RequestID, e.Node, e.Time.Format(time.RFC3339Nano), e.Route, e.Caller, e.Status, e.Outcome, e.Reason, writer.Render())
 }
 
+// describeEvidence has a line for each target that the choice compared.
+func describeEvidence(t operator.Try) string {
+	var evidence balance.Evidence
+	err := json.Unmarshal([]byte(t.Evidence), &evidence)
+	if err != nil || evidence.Count > len(evidence.Samples) {
+		return t.Evidence
+	}
+	lines := []string{fmt.Sprintf("%d with free units, %d avoided for failing, hot above %.1f", evidence.Free, evidence.Ejected, evidence.Threshold)}
+	for _, s := range evidence.Samples[:evidence.Count] {
+		if s.Index < 0 || s.Index >= len(t.Candidates) {
+			return t.Evidence
+		}
+		latency := time.Duration(s.LatencyMicros) * time.Microsecond
+		lines = append(lines, fmt.Sprintf("%s: load %.1f, score %.1f, latency %s", t.Candidates[s.Index], s.Load, s.Score, latency))
+	}
+	return strings.Join(lines, "\n")
+}
+
 func renderDecisions(list decisions) string {
 	writer := newTable("time", "node", "action", "reason", "evidence")
 	for _, d := range list {
--- a/pkg/cli/read.go
+++ b/pkg/cli/read.go
@@ -73,25 +73,27 @@
 // Execute implements flags.Commander. It ends when the context does.
 func (c *watchCommand) Execute([]string) error {
 	var known operator.WatchResult
-	for c.env.ctx.Err() == nil {
-		result, err := c.env.client().Watch(c.env.ctx, known, watchTime)
-		if err != nil {
-			return err
-		}
-		known = result
-		if !result.Changed {
-			continue
-		}
-		list, err := c.env.list(c.Args.Kind)
-		if err != nil {
-			return err
-		}
-		err = c.env.print(list)
-		if err != nil {
-			return err
-		}
+	var err error
+	for c.env.ctx.Err() == nil && err == nil {
+		known, err = c.next(known)
+	}
+	if c.env.ctx.Err() != nil {
+		return nil // interrupted by the operator
+	}
+	return err
+}
+
+// next waits for a change and prints it.
+func (c *watchCommand) next(known operator.WatchResult) (operator.WatchResult, error) {
+	result, err := c.env.client().Watch(c.env.ctx, known, watchTime)
+	if err != nil || !result.Changed {
+		return result, err
+	}
+	list, err := c.env.list(c.Args.Kind)
+	if err != nil {
+		return result, err
 	}
-	return nil
+	return result, c.env.print(list)
 }
 
 type waitCommand struct {
