Name the node in exported metrics and traces

Cause: the exports carried service_name="unknown_service:fireflychute" and no name of the node, so that a collector could not tell the nodes apart. The test of the metrics page demands both.

--- a/pkg/node/metrics_test.go
+++ b/pkg/node/metrics_test.go
@@ -47,6 +47,7 @@
 	page := httptest.NewRecorder()
 	n.telemetry.Handler().ServeHTTP(page, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	g.Expect(page.Body.String()).To(MatchRegexp(`(?m)^fireflychute_node_ready\{.*\} 0$`))
+	g.Expect(page.Body.String()).To(ContainSubstring(`service_instance_id="n1",service_name="fireflychute"`))
 	g.Expect(page.Body.String()).To(MatchRegexp(`(?m)^fireflychute_platform_calls_total\{`))
 }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -66,7 +66,7 @@
 
 func newNode(config settings.Settings, log zerolog.Logger) (*Node, error) {
 	metrics, err := telemetry.New(context.Background(), telemetry.Options{
-		OTLP: config.Tracing.Endpoint, SampleRatio: config.Tracing.SampleRatio,
+		OTLP: config.Tracing.Endpoint, Node: config.Node.Name, SampleRatio: config.Tracing.SampleRatio,
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "start telemetry")
--- a/pkg/telemetry/telemetry.go
+++ b/pkg/telemetry/telemetry.go
@@ -15,6 +15,7 @@
 	exporter "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+	"go.opentelemetry.io/otel/sdk/resource"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 )
 
@@ -27,12 +28,19 @@
 type Options struct {
 	// OTLP is the base URL of an OTLP receiver over HTTP; empty exports nothing.
 	OTLP string
+	// Node is the name of this node; all exports carry it.
+	Node string
 	// SampleRatio is the part of the requests without a trace that get one.
 	SampleRatio float64
 	// Spans receives the spans in place of the OTLP exporter.
 	Spans sdktrace.SpanExporter
 }
 
+// resource names the source of metrics and spans at a collector.
+func (o Options) resource() *resource.Resource {
+	return resource.NewSchemaless(attribute.String("service.name", "fireflychute"), attribute.String("service.instance.id", o.Node))
+}
+
 // Telemetry owns the exporters.
 type Telemetry struct {
 	registry *prometheus.Registry
@@ -52,7 +60,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "prometheus exporter")
 	}
-	readers := []sdkmetric.Option{sdkmetric.WithReader(reader)}
+	readers := []sdkmetric.Option{sdkmetric.WithReader(reader), sdkmetric.WithResource(options.resource())}
 	spans := options.Spans
 	if options.OTLP != "" {
 		metrics, err := otlpmetrichttp.New(ctx, otlpmetrichttp.WithEndpointURL(options.OTLP+"/v1/metrics"))
@@ -74,7 +82,7 @@
 	if spans == nil {
 		return
 	}
-	t.traces = sdktrace.NewTracerProvider(sdktrace.WithBatcher(spans))
+	t.traces = sdktrace.NewTracerProvider(sdktrace.WithBatcher(spans), sdktrace.WithResource(options.resource()))
 	t.tracing = &Tracing{tracer: t.traces.Tracer(scope), ratio: options.SampleRatio}
 }
 
