--- a/pkg/control/build.go
+++ b/pkg/control/build.go
@@ -14,7 +14,7 @@
 
 // publish builds a new snapshot when something changed that traffic must see.
 func (c *Controller) publish(now time.Time) {
-	isolated := c.isolated(now)
+	isolated := c.extendValidity(now)
 	if c.current != nil && c.current.Isolated != isolated {
 		c.options.Log.Warn().Bool("isolated", isolated).Msg("isolation changed")
 		c.dirty = true
@@ -58,12 +58,20 @@
 	return true
 }
 
-// isolated tells that this node hears neither the platform nor any of the nodes
-// that it knows of.
-func (c *Controller) isolated(now time.Time) bool {
+// extendValidity tells whether this node is isolated: it hears neither the
+// platform nor any of the nodes that it knows of. A node that knows of no other
+// node keeps serving.
+func (c *Controller) extendValidity(now time.Time) bool {
+	heard := c.heardPeersAt()
+	if c.platformHeardAt.After(heard) {
+		heard = c.platformHeardAt
+	}
 	alone := len(c.members.Members()) <= 1
-	platformSilent := now.Sub(c.platformHeardAt) >= isolationTime
-	return !alone && platformSilent && now.Sub(c.heardPeersAt()) >= isolationTime
+	if alone {
+		heard = now
+	}
+	c.validity.Extend(heard.Add(isolationTime))
+	return now.Sub(heard) >= isolationTime
 }
 
 // units returns this node's part of a target's limit. A node that has not joined
@@ -86,7 +94,7 @@
 
 // build joins the configuration, the targets and the moves.
 func (c *Controller) build(isolated bool) *snapshot.Snapshot {
-	next := &snapshot.Snapshot{Revision: c.set.Revision, Isolated: isolated, Callers: buildCallers(c.set.Callers)}
+	next := &snapshot.Snapshot{Revision: c.set.Revision, Isolated: isolated, Validity: &c.validity, Callers: buildCallers(c.set.Callers)}
 	targets := c.targetsByService()
 	services := map[string]*snapshot.Service{}
 	for name, spec := range c.set.Services {
--- a/pkg/control/controller.go
+++ b/pkg/control/controller.go
@@ -45,6 +45,7 @@
 	joined          bool
 	counted         []string
 	ranks           map[string]int // of this node, by target address
+	validity        snapshot.Validity
 	current         *snapshot.Snapshot
 	// unusedBlobs is what the last collection of specs found unused.
 	unusedBlobs      operator.Unused
--- a/pkg/snapshot/snapshot.go
+++ b/pkg/snapshot/snapshot.go
@@ -19,6 +19,8 @@
 	Revision uint64
 	// Isolated tells that new calls are to be refused as not run.
 	Isolated bool
+	// Validity is shared by all snapshots of a node.
+	Validity *Validity
 	// Routes are ordered by falling length of the path prefix.
 	Routes  []*Route
 	Callers []CallerGroup
