--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MODULES := ./... ./testbed/...
 TOOL := go tool -modfile=$(CURDIR)/tools/go.mod
 
-.PHONY: build demo test race format lint generate generated
+.PHONY: build bench-latency demo test race format lint generate generated
 
 build:
 	go build -o bin/ ./cmd/... ./testbed/cmd/...
@@ -11,6 +11,10 @@
 demo: build
 	bin/demo
 
+# Latency that a node adds to a call, against the same target called directly.
+bench-latency: build
+	bin/benchlatency
+
 test:
 	go test $(MODULES)
 
--- a/pkg/proxy/handler_test.go
+++ b/pkg/proxy/handler_test.go
@@ -47,10 +47,10 @@
 		}
 		refuseNotRun(w, r)
 	}
-	b := newBench(t, api.WorkKindSpec{Idempotent: true}, once, once)
+	b := newBench(t, api.WorkKindSpec{Idempotent: true}, once, once, once)
 	answer, _, err := b.call(t.Context(), http.MethodGet, "")
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(runs.Load()).To(Equal(int32(2)))
+	g.Expect(runs.Load()).To(Equal(int32(3)))
 	g.Expect(answer.Header.Get(HeaderOutcome)).To(Equal(OutcomeUnknown))
 	g.Expect(answer.StatusCode).To(Equal(http.StatusBadGateway))
 }
--- /dev/null
+++ b/testbed/cmd/benchlatency/main.go
@@ -0,0 +1,215 @@
+// Command benchlatency measures what a node adds to a call: a plain target is
+// called directly and through a node, in pairs and in one run.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/jedib0t/go-pretty/v6/table"
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/proxy"
+	"github.com/fireflychute/fireflychute/pkg/snapshot"
+	"github.com/fireflychute/fireflychute/pkg/target"
+)
+
+const (
+	maxNanos   = int64(10 * time.Second)
+	digits     = 3
+	targets    = 12 // of the service called
+	units      = 64 // of each target
+	warmCalls  = 2000
+	costCalls  = 10_000
+	answerText = "a short label text\n"
+)
+
+type options struct {
+	Rates   []int         `long:"rate" default:"500" default:"2000" default:"5000" description:"pairs of calls per second"`
+	Seconds time.Duration `long:"time" default:"10s" description:"time for each rate"`
+}
+
+func main() {
+	var opts options
+	_, err := flags.Parse(&opts)
+	if err != nil {
+		os.Exit(2)
+	}
+	err = measure(opts)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func measure(opts options) error {
+	direct, through, err := start()
+	if err != nil {
+		return err
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096}}
+	for range warmCalls {
+		_ = call(client, direct)
+		_ = call(client, through)
+	}
+	rows := table.NewWriter()
+	rows.SetOutputMirror(os.Stdout)
+	rows.AppendHeader(table.Row{"pairs/s", "direct p50", "node p50", "added p50", "direct p99", "node p99", "added p99", "pair difference p50", "p99", "failed"})
+	for _, rate := range opts.Rates {
+		r := runPairs(client, direct, through, rate, opts.Seconds)
+		rows.AppendRow(r.row(rate))
+	}
+	rows.Render()
+	costs(client, direct, through)
+	return nil
+}
+
+// start serves the targets and the node on loopback.
+func start() (direct, through string, err error) {
+	service := &snapshot.Service{Name: "label-text", Spec: api.ServiceSpec{Slots: 6}, Units: targets * units}
+	version := snapshot.Version{Name: "v1", Share: 1}
+	for range targets {
+		address, err := serve(http.HandlerFunc(answer))
+		if err != nil {
+			return "", "", err
+		}
+		version.Targets = append(version.Targets, &snapshot.Target{
+			Address: address, Version: "v1", Units: units, Connections: 4 * units, Local: true, Counters: &target.Counters{},
+		})
+		direct = "http://" + address + "/label/1"
+	}
+	service.Versions = []snapshot.Version{version}
+	var published atomic.Pointer[snapshot.Snapshot]
+	published.Store(&snapshot.Snapshot{Revision: 1, Routes: []*snapshot.Route{{
+		Name: "label", Spec: api.RouteSpec{PathPrefix: "/label"}, Service: service,
+		Work: api.WorkKindSpec{Idempotent: true, TimeoutMs: 5000},
+	}}})
+	address, err := serve(proxy.NewHandler(proxy.Options{Published: &published, Node: "n1", Seed: 1}))
+	return direct, "http://" + address + "/label/1", err
+}
+
+func serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "listen")
+	}
+	go func() { _ = (&http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}).Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+func answer(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, answerText) }
+
+func call(client *http.Client, url string) error {
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("status %d", response.StatusCode)
+	}
+	return err
+}
+
+// result has the latencies in nanoseconds from the intended times.
+type result struct {
+	mu                          sync.Mutex
+	direct, through, difference *hdrhistogram.Histogram
+	failed                      int
+}
+
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxNanos, digits) }
+
+// runPairs starts pairs at fixed times, whether earlier ones have ended or not.
+// The two calls of a pair are half an interval apart and alternate in order.
+func runPairs(client *http.Client, direct, through string, rate int, duration time.Duration) *result {
+	r := &result{direct: newHistogram(), through: newHistogram(), difference: newHistogram()}
+	interval := time.Second / time.Duration(rate)
+	first := time.Now().Add(interval)
+	var calls sync.WaitGroup
+	for i := range int(duration / interval) {
+		at := first.Add(time.Duration(i) * interval)
+		time.Sleep(time.Until(at))
+		calls.Go(func() { r.pair(client, direct, through, at, interval/2, i%2 == 1) })
+	}
+	calls.Wait()
+	return r
+}
+
+func (r *result) pair(client *http.Client, direct, through string, at time.Time, apart time.Duration, swap bool) {
+	var took [2]time.Duration
+	var errs [2]error
+	urls := [2]string{direct, through}
+	var calls sync.WaitGroup
+	for place := range urls {
+		which := place
+		if swap {
+			which = 1 - place
+		}
+		calls.Go(func() {
+			intended := at.Add(time.Duration(place) * apart)
+			time.Sleep(time.Until(intended))
+			errs[which] = call(client, urls[which])
+			took[which] = time.Since(intended)
+		})
+	}
+	calls.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if errs[0] != nil || errs[1] != nil {
+		r.failed++
+		return
+	}
+	_ = r.direct.RecordValue(took[0].Nanoseconds())
+	_ = r.through.RecordValue(took[1].Nanoseconds())
+	_ = r.difference.RecordValue(max((took[1] - took[0]).Nanoseconds(), 1))
+}
+
+func (r *result) row(rate int) table.Row {
+	p := func(h *hdrhistogram.Histogram, q float64) int64 { return h.ValueAtQuantile(q) / 1000 }
+	return table.Row{
+		rate, p(r.direct, 50), p(r.through, 50), p(r.through, 50) - p(r.direct, 50),
+		p(r.direct, 99), p(r.through, 99), p(r.through, 99) - p(r.direct, 99),
+		p(r.difference, 50), p(r.difference, 99), r.failed,
+	}
+}
+
+// costs prints processor time and bytes allocated per call of the whole process:
+// caller, target and, in the second line, node.
+func costs(client *http.Client, direct, through string) {
+	fmt.Println("times above in microseconds; cost per call, one caller after the other:")
+	for _, url := range []struct{ name, url string }{{"direct", direct}, {"node", through}} {
+		cpu, bytes, count := usage()
+		for range costCalls {
+			_ = call(client, url.url)
+		}
+		cpuAfter, bytesAfter, countAfter := usage()
+		fmt.Printf("%-6s %6.1f us  %6d bytes  %4d allocations\n", url.name,
+			float64((cpuAfter-cpu).Nanoseconds())/1000/costCalls, (bytesAfter-bytes)/costCalls, (countAfter-count)/costCalls)
+	}
+}
+
+func usage() (cpu time.Duration, bytes, count uint64) {
+	var used syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &used)
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano()), memory.TotalAlloc, memory.Mallocs
+}
