--- a/testbed/cmd/benchlatency/main.go
+++ b/testbed/cmd/benchlatency/main.go
@@ -37,8 +37,8 @@
 )
 
 type options struct {
-	Rates   []int         `long:"rate" default:"500" default:"2000" default:"5000" description:"pairs of calls per second"`
-	Seconds time.Duration `long:"time" default:"10s" description:"time for each rate"`
+	Rates []int         `long:"rate" default:"500" default:"2000" default:"5000" description:"pairs of calls per second"`
+	Time  time.Duration `long:"time" default:"10s" description:"time for each rate"`
 }
 
 func main() {
@@ -68,7 +68,7 @@
 	rows.SetOutputMirror(os.Stdout)
 	rows.AppendHeader(table.Row{"pairs/s", "direct p50", "node p50", "added p50", "direct p99", "node p99", "added p99", "pair difference p50", "p99", "failed"})
 	for _, rate := range opts.Rates {
-		r := runPairs(client, direct, through, rate, opts.Seconds)
+		r := runPairs(client, direct, through, rate, opts.Time)
 		rows.AppendRow(r.row(rate))
 	}
 	rows.Render()
