--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -35,7 +35,7 @@
 		return !c.giveUp(time.Second, "deadline passed or caller left")
 	}
 	header := headersToTarget(c, c.deadline.Sub(c.handler.now()))
-	span := c.span.Try(chosen.Address, c.names(), fmt.Sprintf("%+v", c.chosen.evidence), header)
+	span := c.startSpan(header)
 	sent := c.handler.now()
 	chosen.Counters.Sent.Add(1)
 	answer, err := c.handler.options.Client.Do(c.outgoing(header), connectionsTo(chosen))
@@ -59,17 +59,41 @@
 	if len(c.tried) > 1 {
 		c.metrics.Count(telemetry.Retries)
 	}
-	c.tries = append(c.tries, explain.Try{Target: c.chosen.target.Address, Candidates: c.names(), Evidence: c.chosen.evidence})
+	c.tries = append(c.tries, try{choice: c.chosen})
 }
 
-func (c *call) names() []string {
-	names := make([]string, len(c.chosen.among))
-	for i, t := range c.chosen.among {
+// startSpan starts the span of a try; the attributes are only made for a request
+// that is sampled.
+func (c *call) startSpan(header http.Header) *telemetry.Span {
+	if c.span == nil {
+		return nil
+	}
+	return c.span.Try(c.chosen.target.Address, c.chosen.names(), fmt.Sprintf("%+v", c.chosen.evidence), header)
+}
+
+// try is a try of a request as it is remembered for explain.
+type try struct {
+	choice
+	failure string
+}
+
+func (c *choice) names() []string {
+	names := make([]string, len(c.among))
+	for i, t := range c.among {
 		names[i] = t.Address
 	}
 	return names
 }
 
+func explained(tries []try) []explain.Try {
+	told := make([]explain.Try, len(tries))
+	for i := range tries {
+		t := &tries[i]
+		told[i] = explain.Try{Target: t.target.Address, Candidates: t.names(), Evidence: t.evidence, Failure: t.failure}
+	}
+	return told
+}
+
 func connectionsTo(t *snapshot.Target) int {
 	if t.Connections > 0 {
 		return t.Connections
@@ -138,7 +162,7 @@
 	if outcome == retry.Unknown {
 		c.unknown++
 	}
-	c.tries[len(c.tries)-1].Failure = failure
+	c.tries[len(c.tries)-1].failure = failure
 	return c.gate.budget.Decide(retry.Try{
 		Outcome: outcome, Tries: len(c.tried), Unknown: c.unknown, Idempotent: c.route.Work.Idempotent,
 		Depth: c.depth, NoRetry: c.noRetry, Consumed: consumed, Expired: c.ctx.Err() != nil,
--- a/pkg/proxy/handler.go
+++ b/pkg/proxy/handler.go
@@ -131,7 +131,7 @@
 	unknown int // tries with an unknown outcome
 	claimed bool
 	body    *tryBody
-	tries   []explain.Try
+	tries   []try
 }
 
 // ServeHTTP implements http.Handler.
@@ -326,7 +326,7 @@
 		return
 	}
 	decision := explain.Decision{
-		RequestID: c.id, Time: c.began, Tries: c.tries, Refused: outcome == OutcomeNotRun,
+		RequestID: c.id, Time: c.began, Tries: explained(c.tries), Refused: outcome == OutcomeNotRun,
 		Status: status, Outcome: outcome, Reason: reason,
 	}
 	if c.route != nil {
