--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 TOOL := go tool -modfile=$(CURDIR)/tools/go.mod
 
 .PHONY: build bench demo test race format lint generate generated bench-rollouts
+.PHONY: build bench-latency demo test race format lint generate generated
 
 build:
 	go build -o bin/ ./cmd/... ./testbed/cmd/...
@@ -16,6 +17,9 @@
 # Share of good rollouts done in time and of bad ones taken back; several minutes.
 bench-rollouts:
 	go run ./testbed/cmd/benchrollouts
+# Latency that a node adds to a call, against the same target called directly.
+bench-latency: build
+	bin/benchlatency
 
 test:
 	go test $(MODULES)
