--- a/pkg/proxy/handler.go
+++ b/pkg/proxy/handler.go
@@ -109,6 +109,7 @@
 	handler *Handler
 	w       http.ResponseWriter
 	request *http.Request
+	view    *snapshot.Snapshot
 	route   *snapshot.Route
 	version *snapshot.Version
 	gate    *gate
@@ -171,9 +172,10 @@
 // request itself when it returns false.
 func (c *call) match() bool {
 	view := c.handler.options.Published.Load()
-	if view == nil || view.Revision == 0 || view.Isolated {
+	if !usable(view, c.began) {
 		return c.refuse(http.StatusServiceUnavailable, time.Second, "node has no valid configuration")
 	}
+	c.view = view
 	c.route = view.Match(c.request.Method, c.request.URL.Path)
 	if c.route == nil || c.route.Service == nil {
 		return c.refuse(http.StatusNotFound, 0, "no route")
@@ -219,7 +221,6 @@
 	if c.request.Body != nil && c.request.Body != http.NoBody {
 		c.request.Body = http.MaxBytesReader(c.w, c.request.Body, c.maxBody())
 	}
-	c.version = pickVersion(c.route.Service, c.random)
 	for {
 		if !c.admit() || !c.claim() {
 			return
@@ -232,19 +233,44 @@
 
 // admit reserves a unit, waiting for one if needed.
 func (c *call) admit() bool {
-	if c.version == nil || len(c.candidates()) == 0 {
+	if c.gate.waiting.Load() > 0 || !c.choose() {
+		waiting := c.handler.now()
+		refusal := c.gate.wait(c.ctx, c.admission(), c.choose)
+		c.metrics.Time(telemetry.QueueDuration, c.handler.now().Sub(waiting))
+		if refusal != nil {
+			return c.giveUp(refusal.RetryAfter, string(refusal.Reason))
+		}
+	}
+	if c.chosen.target == nil {
 		return c.giveUp(time.Second, "no target")
 	}
-	if c.gate.waiting.Load() == 0 && c.choose() {
-		return true
+	return true
+}
+
+// usable tells whether new calls may be served by a snapshot.
+func usable(view *snapshot.Snapshot, now time.Time) bool {
+	return view != nil && view.Revision > 0 && !view.Isolated && view.Validity.Valid(now)
+}
+
+// refresh moves the call to the newest snapshot, because a call that waited must
+// not be sent by a configuration that is no longer in force. It fails when the
+// call would now be treated in another way or must not be served.
+func (c *call) refresh() bool {
+	view := c.handler.options.Published.Load()
+	if !usable(view, c.handler.now()) {
+		return false
 	}
-	waiting := c.handler.now()
-	refusal := c.gate.wait(c.ctx, c.admission(), c.choose)
-	c.metrics.Time(telemetry.QueueDuration, c.handler.now().Sub(waiting))
-	if refusal != nil {
-		return c.giveUp(refusal.RetryAfter, string(refusal.Reason))
+	if view == c.view && c.version != nil {
+		return shareOf(c.version) > 0
 	}
-	return true
+	route := view.Match(c.request.Method, c.request.URL.Path)
+	if route == nil || route.Service == nil || route.Service.Name != c.route.Service.Name || route.WorkName != c.route.WorkName {
+		return false
+	}
+	c.view = view
+	c.route = route
+	c.version = pickVersion(route.Service, c.random)
+	return c.version != nil
 }
 
 func (c *call) admission() admission.Request {
--- a/pkg/proxy/handler_test.go
+++ b/pkg/proxy/handler_test.go
@@ -18,6 +18,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/snapshot"
 	"github.com/fireflychute/fireflychute/pkg/target"
 )
 
@@ -118,6 +119,63 @@
 	g.Expect(runs.Load()).To(Equal(int32(1)))
 }
 
+// Guards (P3) against a call that waited for a unit being sent by a snapshot that
+// was replaced in the meantime.
+func TestWaitingCallUsesTheNewestSnapshot(t *testing.T) {
+	g := NewWithT(t)
+	release := make(chan struct{})
+	entered := make(chan struct{})
+	var runs atomic.Int32
+	b := newBench(t, api.WorkKindSpec{}, func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		entered <- struct{}{}
+		<-release
+	})
+	b.version.Targets[0].Units = 1
+	outcomes := make(chan string, 2)
+	send := func() {
+		answer, _, err := b.call(t.Context(), http.MethodPost, "")
+		if err != nil {
+			outcomes <- err.Error()
+			return
+		}
+		outcomes <- answer.Header.Get(HeaderOutcome)
+	}
+	go send()
+	<-entered
+	go send()
+	service := b.gate(b.route.Service)
+	g.Eventually(func() int64 { return service.waiting.Load() }).Should(Equal(int64(1)))
+	emptied := *b.route
+	emptied.Service = &snapshot.Service{Name: "s", Versions: []snapshot.Version{{Name: "v1", Share: 1}}}
+	b.options.Published.Store(&snapshot.Snapshot{Revision: 2, Routes: []*snapshot.Route{&emptied}})
+	b.Recheck()
+	g.Expect(<-outcomes).To(Equal(OutcomeNotRun))
+	close(release)
+	g.Expect(<-outcomes).To(BeEmpty())
+	g.Expect(runs.Load()).To(Equal(int32(1)))
+}
+
+// Guards (P10) against new work at a node that was paused and has not heard
+// anyone since.
+func TestExpiredSnapshotIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(t, api.WorkKindSpec{}, func(http.ResponseWriter, *http.Request) {})
+	view := *b.options.Published.Load()
+	view.Validity = &snapshot.Validity{}
+	b.options.Published.Store(&view)
+	for _, valid := range []bool{true, false} {
+		end := time.Now().Add(-time.Second)
+		if valid {
+			end = time.Now().Add(time.Hour)
+		}
+		view.Validity.Extend(end)
+		answer, _, err := b.call(t.Context(), http.MethodPost, "")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.StatusCode == http.StatusOK).To(Equal(valid))
+	}
+}
+
 // keys is a Deduplicator in memory.
 type keys struct {
 	used sync.Map
--- a/pkg/proxy/pick.go
+++ b/pkg/proxy/pick.go
@@ -69,12 +69,18 @@
 	evidence balance.Evidence
 }
 
-// choose picks a target among those not tried yet and reserves a unit of it.
+// choose picks a target among those not tried yet and reserves a unit of it. It
+// returns false when waiting for a unit makes sense, and true without a chosen
+// target when there is none to wait for.
 func (c *call) choose() bool {
-	if shareOf(c.version) <= 0 {
-		return false
+	c.chosen = choice{}
+	if !c.refresh() {
+		return true
 	}
 	among := c.candidates()
+	if len(among) == 0 {
+		return true
+	}
 	states := make([]balance.Candidate, len(among))
 	for range among {
 		for i, target := range among {
@@ -96,13 +102,18 @@
 	among := make([]*snapshot.Target, 0, len(c.version.Targets))
 	now := nanos(c.handler.now())
 	for _, target := range c.version.Targets {
-		if takesWork(target, now) && !slices.Contains(c.tried, target) {
+		if takesWork(target, now) && !c.wasTried(target) {
 			among = append(among, target)
 		}
 	}
 	return among
 }
 
+// wasTried compares by counters, which a target keeps from snapshot to snapshot.
+func (c *call) wasTried(target *snapshot.Target) bool {
+	return slices.ContainsFunc(c.tried, func(tried *snapshot.Target) bool { return tried.Counters == target.Counters })
+}
+
 func takesWork(target *snapshot.Target, nowNanos int64) bool {
 	return target.Units > 0 && !target.Counters.Leaving.Load() && !target.Counters.Held(nowNanos)
 }
