Run both users' deployments in the demo and check the promises

make demo starts both deployments at today's sizes on loopback (99 processes, 111 with the new versions), applies the declarations, drives an open-loop load, kills a target and a node, stops a node, moves a data centre out and back and two versions, and compares the callers' answers with the targets' execution logs by request id. It exits with 1 when a check is broken.

The execution log is a file with the time of each execution, written before the execution goes on, so a killed target's log is complete.

No process is left after an interrupt or a kill of the demo.

--- a/testbed/cmd/target/main.go
+++ b/testbed/cmd/target/main.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/fireflychute/fireflychute/testbed/target"
@@ -24,6 +25,9 @@
 	ColdRequests int           `long:"cold-requests" default:"100" description:"requests served before the target is warm"`
 	ReportLag    time.Duration `long:"report-lag" default:"500ms" description:"age of the load shown"`
 	Seed         uint64        `long:"seed" default:"1" description:"seed of the random source"`
+	Log          string        `long:"execution-log" description:"file to which the executions are appended"`
+	FailRatio    float64       `long:"fail-ratio" description:"part of the requests that fail"`
+	SlowFactor   float64       `long:"slow-factor" description:"multiplies the service time when above 1"`
 }
 
 func main() {
@@ -33,16 +37,29 @@
 	if err != nil {
 		os.Exit(2)
 	}
+	out, err := openLog(opts.Log)
+	if err != nil {
+		log.Fatal().Err(err).Msg("execution log not opened")
+	}
 	t := target.New(target.Options{
 		Version: opts.Version, Slots: opts.Slots, Queue: opts.Queue, MaxConns: opts.MaxConns,
 		ConnCost: opts.ConnCost, ServiceTime: opts.ServiceTime, ColdRequests: opts.ColdRequests,
-		ReportLag: opts.ReportLag, Seed: opts.Seed,
+		ReportLag: opts.ReportLag, Seed: opts.Seed, Log: out,
+		Bad: target.Badness{FailRatio: opts.FailRatio, SlowFactor: opts.SlowFactor},
 	}, incarnation())
 	server := http.Server{Addr: opts.Listen, Handler: t.Handler(), ConnState: t.ConnState, ReadHeaderTimeout: 5 * time.Second}
 	err = server.ListenAndServe()
 	log.Fatal().Err(err).Msg("listener ended")
 }
 
+func openLog(name string) (target.ExecutionLog, error) {
+	if name == "" {
+		return target.ExecutionLog{}, nil
+	}
+	file, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	return target.ExecutionLog{Out: file}, errors.Wrap(err, "open execution log")
+}
+
 // incarnation differs between two starts at the same address.
 func incarnation() string {
 	return fmt.Sprintf("%x", time.Now().UnixNano())
--- /dev/null
+++ b/testbed/demo/balancer.go
@@ -0,0 +1,87 @@
+package demo
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// probeTime is the interval of the platform balancer's checks, and the longest
+// that one check may take.
+const probeTime = 250 * time.Millisecond
+
+// Balancer spreads calls over the nodes that report to be ready, as the
+// platform's balancer does.
+type Balancer struct {
+	nodes []*Node
+	ready atomic.Pointer[[]*Node]
+}
+
+// NewBalancer returns a balancer that takes no node as ready yet.
+func NewBalancer(nodes []*Node) *Balancer {
+	b := &Balancer{nodes: nodes}
+	b.ready.Store(&[]*Node{})
+	return b
+}
+
+// Run checks the nodes until ctx ends.
+func (b *Balancer) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		b.check(ctx)
+		_ = wait(ctx, probeTime)
+	}
+}
+
+func (b *Balancer) check(ctx context.Context) {
+	ready := make([]bool, len(b.nodes))
+	var group sync.WaitGroup
+	for i, n := range b.nodes {
+		group.Go(func() { ready[i] = isReady(ctx, n) })
+	}
+	group.Wait()
+	found := []*Node{}
+	for i, n := range b.nodes {
+		if ready[i] {
+			found = append(found, n)
+		}
+	}
+	b.ready.Store(&found)
+}
+
+func isReady(ctx context.Context, n *Node) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTime)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Operator+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	answer, err := control.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
+// WaitReady waits until all nodes are taken as ready.
+func (b *Balancer) WaitReady(ctx context.Context) error {
+	for len(*b.ready.Load()) < len(b.nodes) {
+		err := wait(ctx, pollTime)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Choose returns a ready node, or nil when none is.
+func (b *Balancer) Choose(random *rand.Rand) *Node {
+	ready := *b.ready.Load()
+	if len(ready) == 0 {
+		return nil
+	}
+	return ready[random.IntN(len(ready))]
+}
--- /dev/null
+++ b/testbed/demo/fleet.go
@@ -0,0 +1,182 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+)
+
+// readyTime is how long the processes of a deployment may take to be ready.
+const readyTime = 20 * time.Second
+
+// coldRequests is how many requests a target serves before it is warm. It is
+// smaller than the stand-in's default, so that new versions are warm within the run.
+const coldRequests = 24
+
+// Fleet is the running processes of one deployment.
+type Fleet struct {
+	Deployment
+	processes *Processes
+	dir       string
+	platform  *Process
+	Targets   []*Target
+	Nodes     []*Node
+}
+
+// Target is one running target.
+type Target struct {
+	VM      api.VM
+	process *Process
+	log     string
+	started time.Time
+	// Killed tells that the demo ended it.
+	Killed bool
+	// LeftAt is when the VM list reported it as leaving; zero when it never did.
+	LeftAt time.Time
+}
+
+// Node is one running node.
+type Node struct {
+	Name, DataCentre, Caller, Operator, Peer string
+	process                                  *Process
+	// Ended tells that the demo ended it.
+	Ended bool
+}
+
+// StartFleet starts a deployment's platform, targets and nodes, and publishes the VM list.
+func StartFleet(ctx context.Context, d Deployment, processes *Processes, dir string) (*Fleet, error) {
+	f := &Fleet{Deployment: d, processes: processes, dir: dir}
+	var err error
+	f.platform, err = processes.Start(d.Name+"-platform", "platform", "--listen", d.address(0, 0))
+	if err != nil {
+		return nil, err
+	}
+	for _, s := range d.Services {
+		for range s.Targets {
+			err := f.startTarget(s, oldVersion, 0)
+			if err != nil {
+				return nil, err
+			}
+		}
+	}
+	err = f.startNodes()
+	if err != nil {
+		return nil, err
+	}
+	err = waitFor(ctx, d.platformURL()+"/admin/counts", readyTime)
+	if err != nil {
+		return nil, errors.Wrap(err, "platform not ready")
+	}
+	return f, f.PublishVMs(ctx)
+}
+
+func (f *Fleet) startNodes() error {
+	seeds := []string{}
+	for i := range min(3, f.Deployment.Nodes) {
+		seeds = append(seeds, fmt.Sprintf("%q", f.address(peerPorts, i)))
+	}
+	for i := range f.Deployment.Nodes {
+		err := f.startNode(i, strings.Join(seeds, ", "))
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startNode(i int, seeds string) error {
+	n := &Node{
+		Name: fmt.Sprintf("%s-node-%02d", f.Name, i), DataCentre: f.dataCentre(i),
+		Caller: f.address(callerPorts, i), Operator: f.address(operatorPorts, i), Peer: f.address(peerPorts, i),
+	}
+	text := fmt.Sprintf("[node]\nname = %q\ndataCentre = %q\n[callers]\nlisten = %q\n[operators]\nlisten = %q\n[peers]\nlisten = %q\nseeds = [%s]\n[platform]\nurl = %q\n",
+		n.Name, n.DataCentre, n.Caller, n.Operator, n.Peer, seeds, f.platformURL())
+	path := filepath.Join(f.dir, n.Name+".toml")
+	err := os.WriteFile(path, []byte(text), 0o600)
+	if err != nil {
+		return errors.Wrap(err, "write settings")
+	}
+	n.process, err = f.processes.Start(n.Name, "fireflychute", "--settings", path)
+	f.Nodes = append(f.Nodes, n)
+	return err
+}
+
+func (f *Fleet) startTarget(s Service, version string, failRatio float64) error {
+	i := len(f.Targets)
+	address := f.address(targetPorts, i)
+	name := fmt.Sprintf("%s-target-%02d", f.Name, i)
+	t := &Target{log: filepath.Join(f.dir, name+".executions"), started: time.Now()}
+	t.VM = api.VM{Address: address, Role: "target", Service: s.Name, DataCentre: f.dataCentre(i), Version: version, State: api.VMStateLive}
+	var err error
+	t.process, err = f.processes.Start(name, "target", "--listen", address, "--version", version,
+		"--max-conns", fmt.Sprint(s.Connections), "--service-time", s.ServiceTime.String(), "--cold-requests", fmt.Sprint(coldRequests),
+		"--seed", fmt.Sprint(i+1), "--execution-log", t.log, "--fail-ratio", fmt.Sprint(failRatio))
+	f.Targets = append(f.Targets, t)
+	return err
+}
+
+// StartVersion starts the targets of a rollout's new version and publishes them.
+func (f *Fleet) StartVersion(ctx context.Context, r Rollout) error {
+	for range r.Targets {
+		err := f.startTarget(f.service(r.Service), newVersion, r.FailRatio)
+		if err != nil {
+			return err
+		}
+	}
+	return f.PublishVMs(ctx)
+}
+
+// PublishVMs gives the platform the list of machines that run.
+func (f *Fleet) PublishVMs(ctx context.Context) error {
+	vms := []api.VM{}
+	for _, t := range f.Targets {
+		if !t.Killed {
+			vms = append(vms, t.VM)
+		}
+	}
+	for _, n := range f.Nodes {
+		if !n.Ended {
+			vms = append(vms, api.VM{Address: n.Peer, Role: "node", DataCentre: n.DataCentre, State: api.VMStateLive})
+		}
+	}
+	return errors.Wrap(putJSON(ctx, f.platformURL()+"/admin/vms", vms), "publish VM list")
+}
+
+// operators returns the operator address of a node that runs.
+func (f *Fleet) operators() string {
+	for _, n := range f.Nodes {
+		if !n.Ended {
+			return "http://" + n.Operator
+		}
+	}
+	return ""
+}
+
+// WaitLive waits until each node's operator listener answers.
+func (f *Fleet) WaitLive(ctx context.Context) error {
+	for _, n := range f.Nodes {
+		err := waitFor(ctx, "http://"+n.Operator+"/livez", readyTime)
+		if err != nil {
+			return errors.Wrapf(err, "%s not live", n.Name)
+		}
+	}
+	return nil
+}
+
+// WaitReady waits until each node takes calls.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	for _, n := range f.Nodes {
+		err := waitFor(ctx, "http://"+n.Operator+"/readyz", readyTime)
+		if err != nil {
+			return errors.Wrapf(err, "%s not ready", n.Name)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/testbed/demo/layout.go
@@ -0,0 +1,134 @@
+package demo
+
+import (
+	"fmt"
+	"time"
+)
+
+// Deployment is one user's system and the load on it.
+type Deployment struct {
+	// Name is also the directory of its declarations.
+	Name        string
+	Nodes       int
+	DataCentres []string
+	Services    []Service
+	Routes      []Route
+	// BasePort is the first of the deployment's ports.
+	BasePort int
+	// Good and Bad are the rollouts during the run.
+	Good, Bad Rollout
+	// Out is the data centre that leaves and returns.
+	Out string
+}
+
+// Service is a service's targets.
+type Service struct {
+	Name        string
+	Targets     int
+	Connections int
+	ServiceTime time.Duration
+	// Budget is the declared number of measuring operations per second and target.
+	Budget float64
+}
+
+// Route is the load on one route.
+type Route struct {
+	Name, Service, Method, Prefix string
+	// PerSecond is the mean number of calls per second. Routes whose work kind is
+	// deduplicated cost the platform one write a call; together they stay well
+	// below its 300 writes per second.
+	PerSecond  float64
+	Idempotent bool
+	// Bytes is the size of the answer beyond its first line.
+	Bytes int
+}
+
+// Rollout is a version that starts next to the old one.
+type Rollout struct {
+	Name, Service string
+	Targets       int
+	// FailRatio is the part of the requests that the new version fails.
+	FailRatio float64
+}
+
+const (
+	oldVersion = "v1"
+	newVersion = "v2"
+	// unjudgedPercent is the declared limit of the share without a verdict.
+	unjudgedPercent = 10
+)
+
+// Deployments returns both users at their present sizes.
+func Deployments() []Deployment {
+	return []Deployment{vestfjord(), marsa()}
+}
+
+func vestfjord() Deployment {
+	return Deployment{
+		Name: "vestfjord", Nodes: 19, DataCentres: []string{"north", "middle", "south"}, BasePort: 12000, Out: "south",
+		Services: []Service{
+			{"label-text", 20, 260, 5 * time.Millisecond, 2},
+			{"qa-approval", 12, 260, 10 * time.Millisecond, 2},
+			{"warehouse", 6, 260, 20 * time.Millisecond, 2},
+		},
+		Routes: []Route{
+			{"labels", "label-text", "GET", "/labels/", 800, true, 200},
+			{"sign-offs", "qa-approval", "POST", "/sign-offs/", 100, false, 100},
+			{"artwork", "warehouse", "GET", "/artwork/", 10, true, 200_000},
+			{"releases", "warehouse", "POST", "/releases/", 15, false, 100},
+		},
+		Good: Rollout{Name: "label-text-v2", Service: "label-text", Targets: 4},
+		Bad:  Rollout{Name: "qa-approval-v2", Service: "qa-approval", Targets: 2, FailRatio: 0.8},
+	}
+}
+
+func marsa() Deployment {
+	return Deployment{
+		Name: "marsa", Nodes: 13, DataCentres: []string{"harbour", "hill", "old-town"}, BasePort: 22000, Out: "hill",
+		Services: []Service{
+			{"plaque-registry", 13, 220, 5 * time.Millisecond, 2},
+			{"donor-ledger", 8, 220, 15 * time.Millisecond, 2},
+			{"engraving-media", 6, 220, 25 * time.Millisecond, 2},
+		},
+		Routes: []Route{
+			{"plaques", "plaque-registry", "GET", "/plaques/", 500, true, 200},
+			{"payments", "donor-ledger", "POST", "/payments/", 30, false, 100},
+			{"statements", "donor-ledger", "GET", "/statements/", 300, true, 400},
+			{"engravings", "engraving-media", "POST", "/engravings/", 10, false, 100},
+			{"photos", "engraving-media", "GET", "/photos/", 8, true, 400_000},
+		},
+		Good: Rollout{Name: "plaque-registry-v2", Service: "plaque-registry", Targets: 4},
+		Bad:  Rollout{Name: "donor-ledger-v2", Service: "donor-ledger", Targets: 2, FailRatio: 0.8},
+	}
+}
+
+// Offsets of the ports from a deployment's first one. All lie below the usual
+// range of ephemeral ports, so that a connection cannot take a listener's port.
+const (
+	targetPorts   = 100
+	callerPorts   = 300
+	operatorPorts = 400
+	peerPorts     = 500
+)
+
+func (d Deployment) address(offset, i int) string {
+	return fmt.Sprintf("127.0.0.1:%d", d.BasePort+offset+i)
+}
+
+func (d Deployment) platformURL() string {
+	return "http://" + d.address(0, 0)
+}
+
+// dataCentre spreads the i-th machine of a kind over the data centres.
+func (d Deployment) dataCentre(i int) string {
+	return d.DataCentres[i%len(d.DataCentres)]
+}
+
+func (d Deployment) service(name string) Service {
+	for _, s := range d.Services {
+		if s.Name == name {
+			return s
+		}
+	}
+	return Service{}
+}
--- /dev/null
+++ b/testbed/demo/operator.go
@@ -0,0 +1,129 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+)
+
+// applyTries covers a conflict with the system's own or another operator's write.
+const applyTries = 5
+
+// Apply applies a declaration file through a node with chutectl.
+//
+// It returns the revision that chutectl printed, or 0 when it printed none.
+func (f *Fleet) Apply(ctx context.Context, file string) (revision int, err error) {
+	for range applyTries {
+		var out []byte
+		command := exec.CommandContext(ctx, filepath.Join(f.processes.bin, "chutectl"), "--node", f.operators(), "apply", file)
+		out, err = command.CombinedOutput()
+		if err == nil {
+			return printedRevision(out), nil
+		}
+		err = errors.Wrapf(err, "apply %s: %s", filepath.Base(file), out)
+		stopped := wait(ctx, 5*pollTime)
+		if stopped != nil {
+			return 0, stopped
+		}
+	}
+	return 0, err
+}
+
+var revisionPattern = regexp.MustCompile(`(?i)revision\D{0,4}(\d+)`)
+
+func printedRevision(out []byte) int {
+	found := revisionPattern.FindSubmatch(out)
+	if found == nil {
+		return 0
+	}
+	revision, _ := strconv.Atoi(string(found[1]))
+	return revision
+}
+
+// ApplyText applies a declaration given as text.
+func (f *Fleet) ApplyText(ctx context.Context, name, text string) (revision int, err error) {
+	path := filepath.Join(f.dir, f.Name+"-"+name+".toml")
+	err = os.WriteFile(path, []byte(text), 0o600)
+	if err != nil {
+		return 0, errors.Wrap(err, "write declaration")
+	}
+	return f.Apply(ctx, path)
+}
+
+func rolloutText(r Rollout, completeBy time.Time) string {
+	return fmt.Sprintf("[rollout.%s]\nservice = %q\nfrom = %q\nto = %q\ncompleteBy = %q\nmaxUnjudgedSharePercent = %d\nstate = \"Active\"\n",
+		r.Name, r.Service, oldVersion, newVersion, completeBy.UTC().Format(time.RFC3339), unjudgedPercent)
+}
+
+func dataCentreText(name string, state api.DataCentreState) string {
+	return fmt.Sprintf("[dataCentre.%s]\nstate = %q\ncapacityPolicy = \"Refuse\"\n", name, state)
+}
+
+// readStatus reads the status of one object from any node that runs.
+func (f *Fleet) readStatus(ctx context.Context, kind, name string, into any) error {
+	var object api.Object
+	err := getJSON(ctx, f.operators()+"/v1/"+kind+"/"+name, &object)
+	if err != nil {
+		return err
+	}
+	if len(object.Status) == 0 || string(object.Status) == "null" {
+		return errors.Errorf("%s/%s has no status", kind, name)
+	}
+	return errors.Wrapf(json.Unmarshal(object.Status, into), "status of %s/%s", kind, name)
+}
+
+// RolloutStatus reads a rollout's status.
+func (f *Fleet) RolloutStatus(ctx context.Context, name string) (api.RolloutStatus, error) {
+	var status api.RolloutStatus
+	err := f.readStatus(ctx, api.KindRollout, name, &status)
+	return status, err
+}
+
+// DataCentreStatus reads a data centre's status.
+func (f *Fleet) DataCentreStatus(ctx context.Context, name string) (api.DataCentreStatus, error) {
+	var status api.DataCentreStatus
+	err := f.readStatus(ctx, api.KindDataCentre, name, &status)
+	return status, err
+}
+
+// InForce waits until the fleet's status reports a revision in force, and returns
+// how long it took.
+func (f *Fleet) InForce(ctx context.Context, revision int, within time.Duration) (time.Duration, error) {
+	start := time.Now()
+	for {
+		var status api.FleetStatus
+		err := getJSON(ctx, f.operators()+"/v1/status", &status)
+		if err == nil && status.Revision >= revision && holds(status.Conditions, "InForce") {
+			return time.Since(start), nil
+		}
+		if err == nil {
+			err = errors.Errorf("revision %d is not in force; the status is of %d", revision, status.Revision)
+		}
+		if time.Since(start) > within || errors.Is(err, errNotOffered) {
+			return 0, err
+		}
+		stopped := wait(ctx, 2*pollTime)
+		if stopped != nil {
+			return 0, stopped
+		}
+	}
+}
+
+func holds(conditions []api.Condition, kind string) bool {
+	for _, c := range conditions {
+		if c.Type == kind {
+			return c.Status == api.ConditionStatusTrue
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/testbed/target/log.go
@@ -0,0 +1,55 @@
+package target
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ExecutionLog receives one line of JSON for each execution, written before the
+// execution goes on, so that the log of a killed target is complete.
+type ExecutionLog struct {
+	Out io.Writer
+}
+
+// Execution is the start of one request at a target.
+type Execution struct {
+	ID   string    `json:"id"`
+	Path string    `json:"path"`
+	At   time.Time `json:"at"`
+}
+
+func (l ExecutionLog) write(id, path string, at time.Time) {
+	if l.Out == nil {
+		return
+	}
+	line, err := json.Marshal(Execution{ID: id, Path: path, At: at})
+	if err != nil {
+		return
+	}
+	_, _ = l.Out.Write(append(line, '\n'))
+}
+
+// ReadExecutions reads an execution log. A last line that was cut off is left out.
+func ReadExecutions(in io.Reader) ([]Execution, error) {
+	executions := []Execution{}
+	lines := bufio.NewReader(in)
+	for {
+		line, err := lines.ReadBytes('\n')
+		if err == io.EOF {
+			return executions, nil
+		}
+		if err != nil {
+			return executions, errors.Wrap(err, "read execution log")
+		}
+		var execution Execution
+		err = json.Unmarshal(line, &execution)
+		if err != nil {
+			return executions, errors.Wrap(err, "decode execution log")
+		}
+		executions = append(executions, execution)
+	}
+}
--- a/testbed/target/options.go
+++ b/testbed/target/options.go
@@ -18,6 +18,8 @@
 	ReportLag time.Duration
 	Bad       Badness
 	Seed      uint64
+	// Log receives each execution when it starts; nil keeps none.
+	Log ExecutionLog
 }
 
 // Badness is what is wrong with a version.
--- a/testbed/target/target.go
+++ b/testbed/target/target.go
@@ -104,6 +104,7 @@
 	t.waiting--
 	t.running++
 	t.executions[id]++
+	t.options.Log.write(id, path, time.Now())
 	p := plan{time: t.serviceTime()}
 	if t.cold && t.running+t.waiting > t.bears() {
 		t.overloads++
