--- a/pkg/proxy/handler_test.go
+++ b/pkg/proxy/handler_test.go
@@ -369,3 +369,19 @@
 	g.Expect(answer.Code).To(Equal(http.StatusServiceUnavailable))
 	g.Expect(b.options.Explain.Find(answer.Header().Get(HeaderRequestID))).To(HaveLen(1))
 }
+
+// Guards against a request past its deadline being reported as not run or retried.
+func TestDeadlineAtTargetIsUnknown(t *testing.T) {
+	g := NewWithT(t)
+	var runs atomic.Int32
+	stall := func(_ http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		<-r.Context().Done()
+	}
+	b := newBench(t, api.WorkKindSpec{Idempotent: true, TimeoutMs: 5000}, stall, stall)
+	answer, _, err := b.call(t.Context(), http.MethodGet, "", HeaderTimeout, "500")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(answer.StatusCode).To(Equal(http.StatusGatewayTimeout))
+	g.Expect(answer.Header.Get(HeaderOutcome)).To(Equal(OutcomeUnknown))
+	g.Expect(runs.Load()).To(Equal(int32(1)))
+}
--- a/testbed/cmd/benchlatency/main.go
+++ b/testbed/cmd/benchlatency/main.go
@@ -27,13 +27,15 @@
 )
 
 const (
-	maxNanos   = int64(10 * time.Second)
-	digits     = 3
-	targets    = 12 // of the service called
-	units      = 64 // of each target
-	warmCalls  = 2000
-	costCalls  = 10_000
-	answerText = "a short label text\n"
+	maxNanos  = int64(10 * time.Second)
+	digits    = 3
+	targets   = 12 // of the service called
+	units     = 64 // of each target
+	warmCalls = 2000
+	// clientConns keeps a stalled machine from using up the open files.
+	clientConns = 256
+	costCalls   = 10_000
+	answerText  = "a short label text\n"
 )
 
 type options struct {
@@ -59,7 +61,7 @@
 	if err != nil {
 		return err
 	}
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096}}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: clientConns, MaxConnsPerHost: clientConns}}
 	for range warmCalls {
 		_ = call(client, direct)
 		_ = call(client, through)
