Pass an unused wake-up on to the next waiting request

A released unit wakes one request. If that one waits for another version or has tried the target, the unit stayed free until the next release. The wake-up is now passed on, at most once around the queue.

--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -25,12 +25,20 @@
 
 	mu      sync.Mutex
 	queue   *admission.Queue
-	waiters map[*admission.Ticket]chan *admission.Refusal
+	waiters map[*admission.Ticket]chan notice
+}
+
+// notice ends a wait.
+type notice struct {
+	refusal *admission.Refusal
+	// others is how many more requests to wake in turn if this one cannot use the
+	// free unit, because it belongs to another version or was tried before.
+	others int
 }
 
 func newGate(service *snapshot.Service) *gate {
 	limit := max(minQueue, service.Units*queuePerUnit)
-	return &gate{queue: admission.NewQueue(limit), waiters: map[*admission.Ticket]chan *admission.Refusal{}}
+	return &gate{queue: admission.NewQueue(limit), waiters: map[*admission.Ticket]chan notice{}}
 }
 
 // reserve takes one of the target's units at this node.
@@ -59,25 +67,25 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for range count {
-		g.wakeOne()
+		g.wakeOne(len(g.waiters) - 1)
 	}
 }
 
-func (g *gate) wakeOne() {
+func (g *gate) wakeOne(others int) {
 	next, expired := g.queue.Pop(time.Now())
 	for _, ticket := range expired {
-		g.tell(ticket, &admission.Refusal{Reason: "deadline passed", RetryAfter: time.Second})
+		g.tell(ticket, notice{refusal: &admission.Refusal{Reason: "deadline passed", RetryAfter: time.Second}})
 	}
 	if next != nil {
-		g.tell(next, nil)
+		g.tell(next, notice{others: others})
 	}
 }
 
-func (g *gate) tell(ticket *admission.Ticket, refusal *admission.Refusal) {
+func (g *gate) tell(ticket *admission.Ticket, news notice) {
 	told, ok := g.waiters[ticket]
 	if ok {
 		delete(g.waiters, ticket)
-		told <- refusal
+		told <- news
 	}
 }
 
@@ -86,41 +94,45 @@
 func (g *gate) wait(ctx context.Context, request admission.Request, take func() bool) *admission.Refusal {
 	g.waiting.Add(1)
 	defer g.waiting.Add(-1)
+	others := 0
 	for {
-		ticket, told, refusal := g.push(request, take)
+		ticket, told, refusal := g.push(request, take, others)
 		if ticket == nil {
 			return refusal
 		}
+		var news notice
 		select {
-		case refusal = <-told:
+		case news = <-told:
 		case <-ctx.Done():
 			g.leave(ticket)
 			return &admission.Refusal{Reason: "deadline passed or caller left", RetryAfter: time.Second}
 		}
-		if refusal != nil {
-			return refusal
-		}
-		if take() {
-			return nil
+		if news.refusal != nil || take() {
+			return news.refusal
 		}
+		others = news.others
 	}
 }
 
-// push queues the request unless take succeeds; then there is no ticket.
-func (g *gate) push(request admission.Request, take func() bool) (*admission.Ticket, chan *admission.Refusal, *admission.Refusal) {
+// push queues the request unless take succeeds; then there is no ticket. Before
+// it joins the queue again it passes an unused wake-up on.
+func (g *gate) push(request admission.Request, take func() bool, others int) (*admission.Ticket, chan notice, *admission.Refusal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if take() {
 		return nil, nil, nil
 	}
+	if others > 0 {
+		g.wakeOne(others - 1)
+	}
 	ticket, evicted, refusal := g.queue.Push(time.Now(), request)
 	if evicted != nil {
-		g.tell(evicted, evicted.Refusal)
+		g.tell(evicted, notice{refusal: evicted.Refusal})
 	}
 	if refusal != nil {
 		return nil, nil, refusal
 	}
-	told := make(chan *admission.Refusal, 1)
+	told := make(chan notice, 1)
 	g.waiters[ticket] = told
 	return ticket, told, nil
 }
@@ -132,7 +144,7 @@
 	defer g.mu.Unlock()
 	_, queued := g.waiters[ticket]
 	if !queued {
-		g.wakeOne()
+		g.wakeOne(len(g.waiters) - 1)
 		return
 	}
 	delete(g.waiters, ticket)
