Hand calls over to a node with units; end moves and waits that never ended

A cold target's first unit is at its owner alone, so the other nodes refused the calls of a cold service (engravings: 126 of 430 refused) and a new version at 1% got 4/19 of its share, too little to be judged. 2. A node that the list dropped before it was found to have failed counted for 10 minutes, and no configuration was reported in force. 3. A returned data centre waited until every target was warm, which takes minutes where there is little traffic. 4. Latencies of a cold version counted per node only after 200 requests, and a verdict did not need any.

Changes: a node without a unit of a version hands the call over, once, to a node that has one, on a listener for nodes alone; the key is claimed at the first node only. A failed member that was listed and no longer is counts as gone at any time. A data centre is back when no target was limited by its ramp in three steps.

Ruled out: scaling the share at the nodes with units (does not help cold services) and lending units between nodes (state that outlives a crash).

--- a/pkg/control/build.go
+++ b/pkg/control/build.go
@@ -43,6 +43,7 @@
 	c.counted = counted
 	c.joined = joined
 	c.ranks = map[string]int{}
+	c.ranked = map[string][]string{}
 	c.dirty = true
 }
 
@@ -129,6 +130,7 @@
 			continue
 		}
 		units := c.units(entry)
+		c.totals[entry.Address] = entry.Units
 		found[entry.Service] = append(found[entry.Service], &snapshot.Target{
 			Address: entry.Address, DataCentre: entry.DataCentre, Version: entry.Version, Units: units,
 			Connections: max(units, c.set.Services[entry.Service].MaxConnections/len(c.counted)),
@@ -150,10 +152,14 @@
 			{Name: declared.To, Share: part, Targets: ofVersion(targets, declared.To)},
 		}
 	}
-	for _, version := range service.Versions {
+	for i := range service.Versions {
+		version := &service.Versions[i]
 		for _, t := range version.Targets {
 			service.Units += t.Units
 		}
+		if c.joined && !version.OwnUnits() {
+			version.Relays = c.relays(version.Targets)
+		}
 	}
 	return service
 }
--- a/pkg/control/controller.go
+++ b/pkg/control/controller.go
@@ -44,7 +44,10 @@
 	dirty           bool
 	joined          bool
 	counted         []string
-	ranks           map[string]int // of this node, by target address
+	ranks           map[string]int      // of this node, by target address
+	ranked          map[string][]string // nodes by rank, by target address
+	totals          map[string]int      // units of all nodes, by target address
+	relayed         map[string]*target.Counters
 	validity        snapshot.Validity
 	current         *snapshot.Snapshot
 	// unusedBlobs is what the last collection of specs found unused.
@@ -68,6 +71,9 @@
 		registry:  target.NewRegistry(options.Self.Name),
 		config:    configuration.NewStore(),
 		ranks:     map[string]int{},
+		ranked:    map[string][]string{},
+		totals:    map[string]int{},
+		relayed:   map[string]*target.Counters{},
 		startedAt: now,
 	}
 	c.blobsCollectedAt = now
--- a/pkg/control/facts.go
+++ b/pkg/control/facts.go
@@ -19,6 +19,7 @@
 	prefixRollout   = "rollout/"
 	prefixBlock     = "block/"
 	prefixStatus    = "status/"
+	prefixRelay     = "relay/"
 	firstFactNumber = 1
 	// retainTime is how often facts of objects that are gone are removed.
 	retainTime = time.Minute
@@ -82,7 +83,7 @@
 		c.sync.announced(fact.Epoch, string(fact.Value))
 	case fact.Key == factVMs:
 		c.sync.announcedVMs(int(fact.Epoch), string(fact.Value))
-	case strings.HasPrefix(fact.Key, prefixRollout), strings.HasPrefix(fact.Key, prefixBlock):
+	case strings.HasPrefix(fact.Key, prefixRollout), strings.HasPrefix(fact.Key, prefixBlock), strings.HasPrefix(fact.Key, prefixRelay):
 		c.dirty = true
 	case strings.HasPrefix(fact.Key, prefixStatus):
 		c.view.Load().statusChanged()
@@ -119,7 +120,14 @@
 		declared[key.fact(prefixRollout)] = true
 		declared[key.fact(prefixBlock)] = true
 	}
+	members := map[string]bool{}
+	for _, member := range c.members.Members() {
+		members[prefixRelay+member.Name] = true
+	}
 	c.members.Retain(func(key string) bool {
+		if strings.HasPrefix(key, prefixRelay) {
+			return members[key]
+		}
 		ofRollout := strings.HasPrefix(key, prefixRollout) || strings.HasPrefix(key, prefixBlock)
 		return !ofRollout || declared[key] || c.newerGeneration(key)
 	})
--- a/pkg/control/fleet.go
+++ b/pkg/control/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
@@ -21,9 +22,11 @@
 func (c *Controller) fleetStatus(now time.Time) api.FleetStatus {
 	status := api.FleetStatus{Epoch: int(c.duty.epoch), Revision: int(c.revision()), Nodes: c.nodeStatuses()}
 	applied, behind, unreachable := 0, 0, 0
+	counted := c.members.Counted(now)
 	for _, node := range status.Nodes {
 		switch {
-		case node.State == stateNames[membership.Left]:
+		case !slices.Contains(counted, node.Name):
+			// It left, or the platform's list confirms that it is gone.
 		case node.State != stateNames[membership.Alive]:
 			unreachable++
 		case node.Revision < status.Revision:
--- a/pkg/control/moves.go
+++ b/pkg/control/moves.go
@@ -9,6 +9,7 @@
 	"github.com/fireflychute/fireflychute/pkg/membership"
 	"github.com/fireflychute/fireflychute/pkg/message"
 	"github.com/fireflychute/fireflychute/pkg/platform"
+	"github.com/fireflychute/fireflychute/pkg/target"
 )
 
 // reportAge is how long a node's report on a data centre counts.
@@ -27,6 +28,7 @@
 type dataCentreLoad struct {
 	inFlight int
 	sent     uint64 // since the node started
+	limited  int
 }
 
 // moves is what the controller knows of data centres that move.
@@ -34,10 +36,21 @@
 	nodes map[string]nodeLoad
 	// sentNew counts requests sent since the previous step, by data centre.
 	sentNew map[string]int
+	// calm counts the steps in a row in which no target was limited by its ramp.
+	calm map[calmKey]int
 }
 
+// calmKey is a data centre under one generation of its declaration.
+type calmKey struct {
+	name       string
+	generation int
+}
+
+// settledSteps is how many calm steps show that a returned data centre bears its load.
+const settledSteps = 3
+
 func newMoves() moves {
-	return moves{nodes: map[string]nodeLoad{}, sentNew: map[string]int{}}
+	return moves{nodes: map[string]nodeLoad{}, sentNew: map[string]int{}, calm: map[calmKey]int{}}
 }
 
 // repeated tells that a report was taken in before.
@@ -77,7 +90,8 @@
 	}
 }
 
-// dataCentreLoads counts this node's requests at the targets of data centres that are out.
+// dataCentreLoads counts this node's requests at the targets of data centres that
+// are out, and the cold targets that it owns and that are limited by their ramp.
 func (c *Controller) dataCentreLoads() map[string]dataCentreLoad {
 	loads := map[string]dataCentreLoad{}
 	for name, spec := range c.set.DataCentres {
@@ -85,20 +99,36 @@
 			loads[name] = dataCentreLoad{}
 		}
 	}
-	if len(loads) == 0 {
-		return loads
-	}
 	for _, entry := range c.registry.Entries() {
 		load, out := loads[entry.DataCentre]
 		if out {
 			load.inFlight += int(entry.Counters.InFlight.Load())
 			load.sent += entry.Counters.Sent.Load()
 			loads[entry.DataCentre] = load
+			continue
+		}
+		if !entry.Leaving && c.owns(entry) && holdsBack(entry) {
+			load.limited++
+			loads[entry.DataCentre] = load
 		}
 	}
 	return loads
 }
 
+// owns tells that this node has the first unit of a target.
+func (c *Controller) owns(entry target.Entry) bool {
+	c.units(entry)
+	return c.joined && c.ranks[entry.Address] == 0
+}
+
+// holdsBack tells that a cold target is limited by its ramp. One whose reported
+// load leaves units free serves what there is for it, and may stay cold for long
+// where there is little traffic.
+func holdsBack(entry target.Entry) bool {
+	report := entry.Counters.LastReport.Load()
+	return entry.Cold && report != nil && report.InFlight >= entry.Units
+}
+
 // stepDataCentres computes the next status of each data centre and stores what changed.
 func (c *Controller) stepDataCentres(now time.Time) {
 	for name, spec := range c.set.DataCentres {
@@ -112,6 +142,7 @@
 		}
 		generation := c.set.Generations[api.KindDataCentre+"/"+name]
 		observed := c.observeDataCentre(now, name)
+		observed.Unsettled = c.moves.unsettled(calmKey{name, generation}, observed)
 		next, changed := datacentre.Next(now, c.options.Self.Name, int(c.duty.epoch), spec, generation, entry.status, observed)
 		if !changed {
 			continue
@@ -124,6 +155,16 @@
 	}
 }
 
+// unsettled counts calm steps and tells whether there were too few of them.
+func (m *moves) unsettled(key calmKey, observed datacentre.Observed) bool {
+	if observed.Cold > 0 || observed.Unreported > 0 {
+		m.calm[key] = 0
+		return true
+	}
+	m.calm[key]++
+	return m.calm[key] < settledSteps
+}
+
 func (c *Controller) observeDataCentre(now time.Time, name string) datacentre.Observed {
 	observed := datacentre.Observed{}
 	for _, member := range c.members.Members() {
@@ -136,6 +177,7 @@
 			continue
 		}
 		observed.InFlight += report.loads[name].inFlight
+		observed.Cold += report.loads[name].limited
 	}
 	observed.SentNew = c.moves.sentNew[name]
 	delete(c.moves.sentNew, name)
@@ -144,9 +186,6 @@
 			continue
 		}
 		observed.Targets++
-		if entry.Cold {
-			observed.Cold++
-		}
 	}
 	return observed
 }
--- a/pkg/control/options.go
+++ b/pkg/control/options.go
@@ -28,7 +28,9 @@
 	// Self is this node as the others see it.
 	Self membership.Member
 	// Seeds are peer addresses that are asked first.
-	Seeds     []string
+	Seeds []string
+	// Relay is the address on which this node takes over calls; may be empty.
+	Relay     string
 	Store     platform.Store
 	Peers     Peers
 	Published *atomic.Pointer[snapshot.Snapshot]
--- /dev/null
+++ b/pkg/control/relay.go
@@ -0,0 +1,69 @@
+package control
+
+import (
+	"sort"
+
+	"github.com/fireflychute/fireflychute/pkg/membership"
+	"github.com/fireflychute/fireflychute/pkg/share"
+	"github.com/fireflychute/fireflychute/pkg/snapshot"
+	"github.com/fireflychute/fireflychute/pkg/target"
+)
+
+// relays returns the nodes that have units of the given targets, for a version of
+// which this node has no unit: a cold target's first units are at its owner alone,
+// and without handing over, every other node would refuse the version's calls.
+func (c *Controller) relays(targets []*snapshot.Target) []*snapshot.Target {
+	units := map[string]int{}
+	for _, t := range targets {
+		for _, node := range c.holders(t.Address) {
+			units[node]++
+		}
+	}
+	found := []*snapshot.Target{}
+	for _, member := range c.members.Members() {
+		address := c.relayAddress(member)
+		if address == "" || units[member.Name] == 0 {
+			continue
+		}
+		found = append(found, &snapshot.Target{
+			Address: address, DataCentre: member.DataCentre, Units: units[member.Name], Relay: true,
+			Local: member.DataCentre == c.options.Self.DataCentre, Counters: c.relayCounters(member.Name),
+		})
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Address < found[j].Address })
+	return found
+}
+
+// holders returns the nodes with a unit of a target that has fewer units than
+// there are nodes.
+func (c *Controller) holders(address string) []string {
+	ranked := c.ranked[address]
+	if ranked == nil {
+		ranked = share.Ranked(address, c.counted)
+		c.ranked[address] = ranked
+	}
+	return ranked[:min(c.totals[address], len(ranked))]
+}
+
+// relayAddress returns where a node takes over calls, or "" when it does not.
+func (c *Controller) relayAddress(member membership.Member) string {
+	if member.State != membership.Alive || member.Name == c.options.Self.Name {
+		return ""
+	}
+	fact, ok := c.members.Fact(prefixRelay + member.Name)
+	if !ok {
+		return ""
+	}
+	return string(fact.Value)
+}
+
+// relayCounters returns the counters of the calls handed over to a node. They
+// live as long as this node, since node names are few.
+func (c *Controller) relayCounters(node string) *target.Counters {
+	counters := c.relayed[node]
+	if counters == nil {
+		counters = &target.Counters{}
+		c.relayed[node] = counters
+	}
+	return counters
+}
--- a/pkg/control/report.go
+++ b/pkg/control/report.go
@@ -39,7 +39,7 @@
 	}
 	clear(c.rollouts.unreported)
 	for name, load := range c.dataCentreLoads() {
-		report.DataCentres = append(report.DataCentres, message.DataCentreLoad{Name: name, InFlight: load.inFlight, Sent: load.sent})
+		report.DataCentres = append(report.DataCentres, message.DataCentreLoad{Name: name, InFlight: load.inFlight, Sent: load.sent, Limited: load.limited})
 	}
 	return report
 }
@@ -93,7 +93,7 @@
 	}
 	loads := map[string]dataCentreLoad{}
 	for _, load := range report.DataCentres {
-		loads[load.Name] = dataCentreLoad{inFlight: load.InFlight, sent: load.Sent}
+		loads[load.Name] = dataCentreLoad{inFlight: load.InFlight, sent: load.Sent, limited: load.Limited}
 	}
 	c.moves.take(report.Node, nodeLoad{
 		at: now, revision: report.Revision, incarnation: report.Incarnation, sequence: report.Sequence, loads: loads,
--- a/pkg/control/rollouts.go
+++ b/pkg/control/rollouts.go
@@ -229,7 +229,8 @@
 		}
 		bad, evidence := c.fleetJudge(key, spec).Verdict()
 		observed := rollout.Observed{
-			Bad: bad, Evidence: evidence, Exposure: c.fleetJudge(key, spec).Exposure(), Blocked: c.blocked(key),
+			Bad: bad, Evidence: evidence, Blocked: c.blocked(key),
+			Exposure: c.fleetJudge(key, spec).Exposure(), Timed: c.fleetJudge(key, spec).TimedExposure(),
 		}
 		next, changed := rollout.Next(now, c.options.Self.Name, int(c.duty.epoch), spec, key.generation, entry.status, observed)
 		if !changed {
--- a/pkg/control/sync.go
+++ b/pkg/control/sync.go
@@ -77,7 +77,13 @@
 
 // start makes the first platform read. Peers answer through gossip.
 func (c *Controller) start() {
-	c.readPlatform(time.Now())
+	now := time.Now()
+	c.readPlatform(now)
+	if c.options.Relay != "" {
+		c.share(now, membership.Fact{
+			Key: prefixRelay + c.options.Self.Name, Epoch: c.options.Self.Incarnation, Version: firstFactNumber, Value: []byte(c.options.Relay),
+		})
+	}
 }
 
 // stepSync fetches what is announced and newer than what the node has.
--- a/pkg/datacentre/next.go
+++ b/pkg/datacentre/next.go
@@ -26,6 +26,7 @@
 	ReasonDrained         = "Drained"
 	ReasonColdTargets     = "ColdTargets"
 	ReasonWarm            = "TargetsWarm"
+	ReasonSettling        = "Settling"
 	ReasonDeclared        = "Declared"
 )
 
@@ -36,8 +37,12 @@
 	// SentNew is how many requests were sent to its targets since the previous
 	// observation, over all nodes.
 	SentNew int
-	// Targets and Cold are its live targets and how many of them are cold.
+	// Targets and Cold are its live targets and how many of them are cold with all
+	// units in use. A cold target with free units serves what there is for it.
 	Targets, Cold int
+	// Unsettled tells that targets were not observed long enough since it returned
+	// for Cold to say something.
+	Unsettled bool
 	// Unreported is how many nodes have not applied this generation or have not
 	// reported. Their requests are not in the counts above.
 	Unreported int
@@ -127,9 +132,12 @@
 
 func warming(observed Observed) (reason, message string, done bool) {
 	if observed.Cold > 0 {
-		return ReasonColdTargets, fmt.Sprintf("%d of %d targets are cold", observed.Cold, observed.Targets), false
+		return ReasonColdTargets, fmt.Sprintf("%d of %d targets are cold and fully used", observed.Cold, observed.Targets), false
 	}
-	return ReasonWarm, "no target is cold", true
+	if observed.Unsettled {
+		return ReasonSettling, "its targets have not been observed long enough", false
+	}
+	return ReasonWarm, "no target is limited by its ramp", true
 }
 
 // set replaces the condition of the same type. The time of the last transition
--- a/pkg/datacentre/next_test.go
+++ b/pkg/datacentre/next_test.go
@@ -68,3 +68,14 @@
 	_, changed = Next(start, "m", 2, out, 1, after, Observed{})
 	g.Expect(changed).To(BeFalse())
 }
+
+// Guards against a return that is done before any target had work to show its ramp.
+func TestInWaitsUntilObserved(t *testing.T) {
+	g := NewWithT(t)
+	in := spec(api.DataCentreStateIn, api.CapacityPolicyRefuse)
+	status, _ := Next(start, "n", 1, in, 1, api.DataCentreStatus{}, Observed{Targets: 4, Unsettled: true})
+	g.Expect(status.Phase).To(Equal(api.PhaseProgressing))
+	g.Expect(status.Conditions[0].Reason).To(Equal(ReasonSettling))
+	status, _ = Next(start, "n", 1, in, 1, status, Observed{Targets: 4})
+	g.Expect(status.Phase).To(Equal(api.PhaseCompleted))
+}
--- a/pkg/judge/judge.go
+++ b/pkg/judge/judge.go
@@ -32,6 +32,7 @@
 	sustained *test
 	// block is the slow answers of the present block, periods how many it has.
 	block     exposure
+	timed     int // requests of the new version with a latency
 	periods   int
 	threshold threshold
 	evidence  api.Evidence
@@ -69,6 +70,7 @@
 		r.observeSlow(exposure{old.Timed(), old.Above(limit), new.Timed(), new.Above(limit)})
 	}
 	r.threshold.add(old)
+	r.timed += new.Timed()
 	r.evidence.OldRequests += old.Requests
 	r.evidence.OldFailures += old.Failures
 	r.evidence.NewRequests += new.Requests
@@ -112,6 +114,16 @@
 // version's requests. A raise waits for evidence on each route that matters,
 // without being held up by a route that is hardly called.
 func (j *Judge) Exposure() int {
+	return j.least(func(r *route) int { return r.evidence.NewRequests })
+}
+
+// TimedExposure is Exposure for the requests that were judged by their latency.
+// Requests to cold targets are only judged by whether they failed.
+func (j *Judge) TimedExposure() int {
+	return j.least(func(r *route) int { return r.timed })
+}
+
+func (j *Judge) least(of func(*route) int) int {
 	total := 0
 	for _, r := range j.routes {
 		total += r.evidence.OldRequests
@@ -119,8 +131,8 @@
 	least := -1
 	for _, r := range j.routes {
 		minor := r.evidence.OldRequests*10 < total
-		if !minor && (least < 0 || r.evidence.NewRequests < least) {
-			least = r.evidence.NewRequests
+		if !minor && (least < 0 || of(r) < least) {
+			least = of(r)
 		}
 	}
 	return max(0, least)
--- a/pkg/membership/count.go
+++ b/pkg/membership/count.go
@@ -55,7 +55,18 @@
 		switch {
 		case m.listed[e.Address]:
 			e.everListed, e.gone = true, false
-		case e.State == Failed && (e.everListed || now.Sub(e.since) >= failedHold):
+		case e.State == Failed && now.Sub(e.since) >= failedHold:
+			e.gone = true
+		}
+	}
+	m.confirmGone()
+}
+
+// confirmGone marks the failed members that were listed and no longer are. The
+// list may drop a node before the node is found to have failed.
+func (m *Machine) confirmGone() {
+	for _, e := range m.members {
+		if e.State == Failed && e.everListed && !m.listed[e.Address] {
 			e.gone = true
 		}
 	}
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -86,6 +86,7 @@
 	m.lastTick = now
 	out := m.expireProbes()
 	m.expireMembers()
+	m.confirmGone()
 	if now.Before(m.nextGossip) {
 		return out
 	}
--- a/pkg/membership/model_test.go
+++ b/pkg/membership/model_test.go
@@ -109,3 +109,17 @@
 		}
 	}
 }
+
+// Guards against a node that counts for 10 minutes because the platform's list
+// dropped it before its failure was noticed.
+func TestListedAsGoneBeforeItFailed(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(3, 1)
+	f.run(10*time.Second, nil)
+	g.Expect(f.nodes["node-000"].Counted(f.now)).To(HaveLen(3))
+	delete(f.nodes, "node-002")
+	f.listing = false
+	f.list()
+	f.run(10*time.Second, nil)
+	g.Expect(f.nodes["node-000"].Counted(f.now)).To(HaveLen(2))
+}
--- a/pkg/message/codec_gen.go
+++ b/pkg/message/codec_gen.go
@@ -728,12 +728,15 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z DataCentreLoad) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *DataCentreLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "inFlight"
-	o = append(o, 0x83, 0xa8, 0x69, 0x6e, 0x46, 0x6c, 0x69, 0x67, 0x68, 0x74)
+	o = append(o, 0x84, 0xa8, 0x69, 0x6e, 0x46, 0x6c, 0x69, 0x67, 0x68, 0x74)
 	o = msgp.AppendInt(o, z.InFlight)
+	// string "limited"
+	o = append(o, 0xa7, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Limited)
 	// string "name"
 	o = append(o, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
 	o = msgp.AppendString(o, z.Name)
@@ -771,6 +774,12 @@
 				err = msgp.WrapError(err, "InFlight")
 				return
 			}
+		case "limited":
+			z.Limited, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Limited")
+				return
+			}
 		case "name":
 			z.Name, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -796,8 +805,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z DataCentreLoad) Msgsize() (s int) {
-	s = 1 + 9 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Name) + 5 + msgp.Uint64Size
+func (z *DataCentreLoad) Msgsize() (s int) {
+	s = 1 + 9 + msgp.IntSize + 8 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Name) + 5 + msgp.Uint64Size
 	return
 }
 
@@ -1753,16 +1762,11 @@
 	o = append(o, 0xab, 0x64, 0x61, 0x74, 0x61, 0x43, 0x65, 0x6e, 0x74, 0x72, 0x65, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.DataCentres)))
 	for za0002 := range z.DataCentres {
-		// map header, size 3
-		// string "inFlight"
-		o = append(o, 0x83, 0xa8, 0x69, 0x6e, 0x46, 0x6c, 0x69, 0x67, 0x68, 0x74)
-		o = msgp.AppendInt(o, z.DataCentres[za0002].InFlight)
-		// string "name"
-		o = append(o, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
-		o = msgp.AppendString(o, z.DataCentres[za0002].Name)
-		// string "sent"
-		o = append(o, 0xa4, 0x73, 0x65, 0x6e, 0x74)
-		o = msgp.AppendUint64(o, z.DataCentres[za0002].Sent)
+		o, err = z.DataCentres[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "DataCentres", za0002)
+			return
+		}
 	}
 	// string "incarnation"
 	o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
@@ -1841,50 +1845,11 @@
 				z.DataCentres = make([]DataCentreLoad, zb0003)
 			}
 			for za0002 := range z.DataCentres {
-				var zb0004 uint32
-				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.DataCentres[za0002].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "DataCentres", za0002)
 					return
 				}
-				if zb0004 > zf88ce922limitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0004 > 0 {
-					zb0004--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "DataCentres", za0002)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "inFlight":
-						z.DataCentres[za0002].InFlight, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "DataCentres", za0002, "InFlight")
-							return
-						}
-					case "name":
-						z.DataCentres[za0002].Name, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "DataCentres", za0002, "Name")
-							return
-						}
-					case "sent":
-						z.DataCentres[za0002].Sent, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "DataCentres", za0002, "Sent")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "DataCentres", za0002)
-							return
-						}
-					}
-				}
 			}
 		case "incarnation":
 			z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
@@ -1930,7 +1895,7 @@
 	}
 	s += 12 + msgp.ArrayHeaderSize
 	for za0002 := range z.DataCentres {
-		s += 1 + 9 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.DataCentres[za0002].Name) + 5 + msgp.Uint64Size
+		s += z.DataCentres[za0002].Msgsize()
 	}
 	s += 12 + msgp.Uint64Size + 5 + msgp.StringPrefixSize + len(z.Node) + 9 + msgp.Uint64Size + 9 + msgp.Uint64Size
 	return
--- a/pkg/message/types_gen.go
+++ b/pkg/message/types_gen.go
@@ -77,11 +77,14 @@
 	Have uint64 `msg:"have"`
 }
 
-// One node's requests at the targets of a data centre that is out.
+// One node's view of a data centre that is out or returns.
 type DataCentreLoad struct {
 	// Requests in flight.
 	InFlight int `msg:"inFlight"`
 
+	// Cold targets owned by the node whose units are all in use.
+	Limited int `msg:"limited"`
+
 	// Name of the data centre.
 	Name string `msg:"name"`
 
@@ -191,7 +194,7 @@
 	// Counts by rollout, route and version.
 	Counts []RolloutCount `msg:"counts"`
 
-	// Loads of the data centres that are out.
+	// Loads of the data centres that are out or have cold targets.
 	DataCentres []DataCentreLoad `msg:"dataCentres"`
 
 	// Its incarnation.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -100,6 +100,7 @@
 			Incarnation: uint64(time.Now().UnixNano()),
 		},
 		Seeds:     n.settings.Peers.Seeds,
+		Relay:     n.settings.Peers.Relay,
 		Store:     n.store,
 		Peers:     n.client,
 		Published: &published,
@@ -136,6 +137,11 @@
 	n.addListener(&group, listener{
 		address: n.settings.Callers.Listen, limits: n.settings.Callers.Limits, handler: n.handler,
 	})
+	if n.settings.Peers.Relay != "" {
+		n.addListener(&group, listener{
+			address: n.settings.Peers.Relay, limits: n.settings.Callers.Limits, handler: n.handler.Relayed(),
+		})
+	}
 	n.addListener(&group, listener{
 		address: n.settings.Operators.Listen, limits: n.settings.Operators.Limits, tls: operatorTLS,
 		handler: operator.NewServer(operator.Options{
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -15,9 +15,10 @@
 	"github.com/fireflychute/fireflychute/pkg/transport"
 )
 
-// coldRequests is how many requests a cold target may answer slowly before that
-// counts against its version.
-const coldRequests = 200
+// coldRequests is how many requests a cold target may serve slowly, to all nodes
+// together, before that counts against its version. A ramp to 12 units ends after
+// about as many.
+const coldRequests = 100
 
 // try sends the request to the chosen target. It returns true when the request
 // is finished.
@@ -29,7 +30,7 @@
 	if c.ctx.Err() != nil {
 		return !c.giveUp(time.Second, "deadline passed or caller left")
 	}
-	header := headersToTarget(c, c.deadline.Sub(c.handler.now()))
+	header := c.outgoingHeaders()
 	span := c.startSpan(header)
 	sent := c.handler.now()
 	chosen.Counters.Sent.Add(1)
@@ -49,6 +50,14 @@
 	return true
 }
 
+func (c *call) outgoingHeaders() http.Header {
+	remaining := c.deadline.Sub(c.handler.now())
+	if c.chosen.target.Relay {
+		return headersToRelay(c, remaining)
+	}
+	return headersToTarget(c, remaining)
+}
+
 func (c *call) note() {
 	c.metrics.Count(telemetry.Tries)
 	if len(c.tried) > 1 {
@@ -232,7 +241,7 @@
 		c.gate.budget.Succeeded()
 	}
 	recorder := c.route.Recorders[chosen.Version]
-	if !ran || recorder == nil {
+	if !ran || recorder == nil || chosen.Relay {
 		return
 	}
 	if isTimed(chosen) {
@@ -246,6 +255,6 @@
 // cold target is slow whatever its version; a target that stays cold after many
 // requests is not.
 func isTimed(chosen *snapshot.Target) bool {
-	counters := chosen.Counters
-	return !chosen.Cold || counters.Succeeded.Load()+counters.Slow.Load()+counters.Failed.Load() > coldRequests
+	report := chosen.Counters.LastReport.Load()
+	return !chosen.Cold || report != nil && report.Served > coldRequests
 }
--- a/pkg/proxy/handler.go
+++ b/pkg/proxy/handler.go
@@ -121,6 +121,8 @@
 	id      string
 	depth   int
 	noRetry bool
+	// relayed tells that another node handed the call over.
+	relayed bool
 
 	ctx      context.Context
 	deadline time.Time
@@ -139,7 +141,7 @@
 	defer h.inFlight.Add(-1)
 	random := h.randoms.Get().(*rand.Rand)
 	defer h.randoms.Put(random)
-	c := &call{handler: h, w: w, request: r, random: random, began: h.now()}
+	c := &call{handler: h, w: w, request: r, random: random, began: h.now(), relayed: isRelayed(r)}
 	c.identify()
 	w.Header().Set(HeaderNode, h.options.Node)
 	w.Header().Set(HeaderRequestID, c.id)
@@ -181,7 +183,7 @@
 		return c.refuse(http.StatusNotFound, 0, "no route")
 	}
 	c.metrics = c.handler.options.Telemetry.Route(c.route.Name)
-	c.caller = view.Caller(sourceOf(c.request))
+	c.caller = c.findCaller()
 	var ok bool
 	c.depth, ok = readDepth(c.request.Header)
 	c.noRetry = c.request.Header.Get(HeaderNoRetry) != ""
@@ -207,6 +209,30 @@
 	return defaultBodyBytes
 }
 
+// findCaller returns the group of the caller. The listener for other nodes is the
+// only one on which the name of the group is taken from the call.
+func (c *call) findCaller() *snapshot.CallerGroup {
+	if c.relayed {
+		return c.view.CallerNamed(c.request.Header.Get(headerCaller))
+	}
+	return c.view.Caller(sourceOf(c.request))
+}
+
+// pickVersion draws a version; a call that was handed over comes with one.
+func (c *call) pickVersion() *snapshot.Version {
+	name := c.request.Header.Get(headerVersion)
+	if !c.relayed || name == "" {
+		return pickVersion(c.route.Service, c.random)
+	}
+	for i := range c.route.Service.Versions {
+		version := &c.route.Service.Versions[i]
+		if version.Name == name {
+			return version
+		}
+	}
+	return nil
+}
+
 func sourceOf(r *http.Request) netip.Addr {
 	source, err := netip.ParseAddrPort(r.RemoteAddr)
 	if err != nil {
@@ -269,7 +295,7 @@
 	}
 	c.view = view
 	c.route = route
-	c.version = pickVersion(route.Service, c.random)
+	c.version = c.pickVersion()
 	return c.version != nil
 }
 
@@ -286,7 +312,7 @@
 // claim records the idempotency key, once, before the first sending.
 func (c *call) claim() bool {
 	key := c.request.Header.Get(headerKey)
-	if c.claimed || key == "" || c.route.Work.Idempotent || !c.route.Work.Deduplicate {
+	if c.claimed || c.relayed || key == "" || c.route.Work.Idempotent || !c.route.Work.Deduplicate {
 		return true
 	}
 	if c.handler.options.Deduplicator == nil {
--- a/pkg/proxy/headers.go
+++ b/pkg/proxy/headers.go
@@ -19,7 +19,10 @@
 	HeaderNode      = "Fireflychute-Node"
 	HeaderLoad      = "Fireflychute-Load"
 	headerKey       = "Idempotency-Key"
-	headerPrefix    = "Fireflychute-"
+	// Headers on calls that one node hands over to another.
+	headerCaller  = "Fireflychute-Caller"
+	headerVersion = "Fireflychute-Version"
+	headerPrefix  = "Fireflychute-"
 )
 
 const (
@@ -97,6 +100,19 @@
 	return header
 }
 
+// headersToRelay are the headers for another node. The depth stays the same, since
+// the other node sends the call to the target in place of this one, and only this
+// node retries.
+func headersToRelay(c *call, remaining time.Duration) http.Header {
+	header := headersToTarget(c, remaining)
+	header[HeaderDepth] = []string{strconv.Itoa(c.depth)}
+	header[headerVersion] = []string{c.version.Name}
+	if c.caller != nil {
+		header[headerCaller] = []string{c.caller.Name}
+	}
+	return header
+}
+
 // copyAnswerHeaders takes over a target's headers but for those that only nodes
 // may set. A stated outcome is kept on refusals.
 func copyAnswerHeaders(to http.Header, answer *http.Response) {
--- a/pkg/proxy/pick.go
+++ b/pkg/proxy/pick.go
@@ -33,7 +33,7 @@
 			break
 		}
 	}
-	if picked == nil || hasUnits(picked) {
+	if picked == nil || hasUnits(picked) || len(picked.Relays) > 0 {
 		return picked
 	}
 	return mainVersion(service)
@@ -98,10 +98,16 @@
 	return false
 }
 
+// candidates returns the targets that may take the call, or nodes that may when
+// this node has no unit of any target. A call is handed over once at most.
 func (c *call) candidates() []*snapshot.Target {
-	among := make([]*snapshot.Target, 0, len(c.version.Targets))
+	targets := c.version.Targets
+	if !c.relayed && !c.version.OwnUnits() {
+		targets = c.version.Relays
+	}
+	among := make([]*snapshot.Target, 0, len(targets))
 	now := nanos(c.handler.now())
-	for _, target := range c.version.Targets {
+	for _, target := range targets {
 		if takesWork(target, now) && !c.wasTried(target) {
 			among = append(among, target)
 		}
--- /dev/null
+++ b/pkg/proxy/relay_test.go
@@ -0,0 +1,84 @@
+package proxy
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/snapshot"
+	"github.com/fireflychute/fireflychute/pkg/target"
+)
+
+// handOver makes the node without units of its own hand calls over to another.
+func handOver(t *testing.T, from, to *bench) {
+	t.Helper()
+	relay := httptest.NewServer(to.Relayed())
+	t.Cleanup(relay.Close)
+	from.version.Targets = nil
+	from.version.Relays = []*snapshot.Target{{
+		Address: relay.Listener.Addr().String(), Units: 6, Connections: 100, Relay: true, Counters: &target.Counters{},
+	}}
+}
+
+// Guards against a node that refuses calls only because the units of cold targets
+// are at other nodes, and (P7) against the key being claimed at both nodes.
+func TestCallIsHandedOverToANodeWithUnits(t *testing.T) {
+	g := NewWithT(t)
+	depths := make(chan string, 1)
+	owner := newBench(t, api.WorkKindSpec{Deduplicate: true}, func(_ http.ResponseWriter, r *http.Request) {
+		depths <- r.Header.Get(HeaderDepth)
+	})
+	entry := newBench(t, api.WorkKindSpec{Deduplicate: true})
+	store := &keys{}
+	owner.options.Deduplicator, entry.options.Deduplicator = store, store
+	handOver(t, entry, owner)
+	answer, _, err := entry.call(t.Context(), http.MethodPost, "body", headerKey, "k")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(answer.StatusCode).To(Equal(http.StatusOK))
+	g.Expect(<-depths).To(Equal("1"), "a hand-over is no call of its own")
+}
+
+// Guards against a call that is handed from node to node without end, and (P6)
+// against a false statement about it.
+func TestCallIsHandedOverOnce(t *testing.T) {
+	g := NewWithT(t)
+	first, second := newBench(t, api.WorkKindSpec{}), newBench(t, api.WorkKindSpec{})
+	handOver(t, first, second)
+	handOver(t, second, first)
+	answer, _, err := first.call(t.Context(), http.MethodPost, "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(answer.Header.Get(HeaderOutcome)).To(Equal(OutcomeNotRun))
+}
+
+// Guards (P7) against a second execution of a call that was handed over and whose
+// outcome the other node does not know.
+func TestUnknownOutcomeOfHandOver(t *testing.T) {
+	g := NewWithT(t)
+	var runs atomic.Int32
+	owner := newBench(t, api.WorkKindSpec{Idempotent: true}, func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		drop(w, r)
+	})
+	entry := newBench(t, api.WorkKindSpec{})
+	handOver(t, entry, owner)
+	answer, _, err := entry.call(t.Context(), http.MethodPost, "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(answer.Header.Get(HeaderOutcome)).To(Equal(OutcomeUnknown))
+	g.Expect(runs.Load()).To(Equal(int32(1)))
+}
+
+// Guards against a caller that names its group or version on the callers' listener.
+func TestCallerCannotNameItsGroup(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(t, api.WorkKindSpec{}, func(http.ResponseWriter, *http.Request) {})
+	for _, named := range []string{"v1", "other"} {
+		answer, _, err := b.call(t.Context(), http.MethodGet, "", headerVersion, named, headerCaller, "gold")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.StatusCode).To(Equal(http.StatusOK))
+	}
+}
--- a/pkg/rollout/next.go
+++ b/pkg/rollout/next.go
@@ -23,6 +23,8 @@
 	Evidence []api.Evidence
 	// Exposure is how many requests of the new version were judged, see judge.Exposure.
 	Exposure int
+	// Timed is how many of them were judged by their latency, see judge.TimedExposure.
+	Timed int
 	// Blocked tells that a node stopped sending to the version under this generation.
 	Blocked bool
 }
@@ -128,7 +130,15 @@
 
 // due tells whether a share may be given now.
 func (s *stepper) due(p plan, to step) bool {
-	return s.observed.Exposure >= p.need(to) && !s.now.Before(p.at(to)) && !s.now.Before(s.heldUntil(p))
+	return s.exposed(p, to) && !s.now.Before(p.at(to)) && !s.now.Before(s.heldUntil(p))
+}
+
+// exposed tells whether there is evidence enough for a share. A verdict needs
+// latencies as well: a version that is slow at warm targets looks good while all
+// its targets are cold.
+func (s *stepper) exposed(p plan, to step) bool {
+	judged := to.share <= p.unjudged || s.observed.Timed >= VerdictExposure
+	return judged && s.observed.Exposure >= p.need(to)
 }
 
 func (s *stepper) heldUntil(p plan) time.Time {
@@ -138,7 +148,7 @@
 // explain says what the next share waits for.
 func (s *stepper) explain(p plan, to step) {
 	switch {
-	case s.observed.Exposure < p.need(to):
+	case !s.exposed(p, to):
 		s.set(ConditionProgressing, true, ReasonWaitingExposure, fmt.Sprintf("%d judged requests are needed before %g%%", p.need(to), to.share))
 	case s.now.Before(p.at(to)):
 		s.set(ConditionProgressing, true, ReasonWaitingForTime, fmt.Sprintf("%g%% is due at %s", to.share, p.at(to).UTC().Format(time.RFC3339)))
--- a/pkg/rollout/next_test.go
+++ b/pkg/rollout/next_test.go
@@ -30,7 +30,7 @@
 	exposure := 0.0
 	return func(_ time.Duration, share float64) Observed {
 		exposure += perSecond * share / 100
-		return Observed{Exposure: int(exposure)}
+		return Observed{Exposure: int(exposure), Timed: int(exposure)}
 	}
 }
 
@@ -132,10 +132,10 @@
 		for range rapid.IntRange(1, 60).Draw(t, "calls") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second)
 			exposure += rapid.IntRange(0, 100).Draw(t, "exposure")
-			observed := Observed{Exposure: exposure, Bad: rapid.IntRange(0, 30).Draw(t, "bad") == 0, Blocked: rapid.IntRange(0, 30).Draw(t, "blocked") == 0}
+			observed := Observed{Exposure: exposure, Timed: exposure, Bad: rapid.IntRange(0, 30).Draw(t, "bad") == 0, Blocked: rapid.IntRange(0, 30).Draw(t, "blocked") == 0}
 			if rapid.IntRange(0, 30).Draw(t, "renew") == 0 {
 				generation, exposure, blocked = generation+1, 0, false
-				observed.Exposure = 0
+				observed.Exposure, observed.Timed = 0, 0
 			}
 			previous := status
 			status, _ = Next(now, "n", 1, spec, generation, status, observed)
@@ -159,3 +159,18 @@
 		}
 	})
 }
+
+// Guards against a verdict on a version whose targets were all cold, so that its
+// latency was never judged.
+func TestVerdictNeedsLatencies(t *testing.T) {
+	g := NewWithT(t)
+	untimed := func(time.Duration, float64) Observed { return Observed{Exposure: 10 * VerdictExposure} }
+	status := follow(declared(time.Minute), api.RolloutStatus{}, 0, 2*time.Minute, untimed)
+	g.Expect(status.Phase).To(Equal(api.PhaseProgressing))
+	g.Expect(status.SharePercent).To(BeNumerically("==", 10))
+	timed := func(time.Duration, float64) Observed {
+		return Observed{Exposure: 10 * VerdictExposure, Timed: VerdictExposure}
+	}
+	status = follow(declared(time.Minute), status, 2*time.Minute, 3*time.Minute, timed)
+	g.Expect(status.Phase).To(Equal(api.PhaseCompleted))
+}
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -48,6 +48,7 @@
 	c.checkLimits("callers", c.settings.Callers.Limits)
 	c.checkLimits("operators", c.settings.Operators.Limits)
 	c.checkSeeds()
+	c.checkRelay()
 	c.checkURL("platform.url", c.settings.Platform.URL)
 	c.checkURL("tracing.endpoint", c.settings.Tracing.Endpoint)
 	c.checkRest()
--- a/pkg/settings/defaults_gen.go
+++ b/pkg/settings/defaults_gen.go
@@ -28,6 +28,7 @@
 maxBodyBytes = 4194304
 maxConnections = 256
 [peers]
+relay = ""
 seeds = []
 allowPlainText = false
 [peers.tls]
--- /dev/null
+++ b/pkg/settings/relay.go
@@ -0,0 +1,29 @@
+package settings
+
+import "net/netip"
+
+// checkRelay checks the address for calls that other nodes hand over. Those calls
+// are plain text, so a node whose peers use TLS must not offer it.
+func (c *checker) checkRelay() {
+	const key = "peers.relay"
+	relay := c.settings.Peers.Relay
+	if relay == "" {
+		return
+	}
+	address, err := netip.ParseAddrPort(relay)
+	if err != nil {
+		c.report(key, "must be an IP address and port, is %q", relay)
+		return
+	}
+	if c.settings.Peers.TLS.Cert != "" {
+		c.report(key, "cannot be used together with peers.tls")
+	}
+	if !address.Addr().IsLoopback() && !c.settings.Peers.AllowPlainText {
+		c.report(key, "is plain text and not on loopback; set peers.allowPlainText if the network is trusted")
+	}
+	for _, other := range []string{c.settings.Callers.Listen, c.settings.Operators.Listen, c.settings.Peers.Listen} {
+		if other == relay {
+			c.report(key, "is also the address of another listener")
+		}
+	}
+}
--- a/pkg/settings/types_gen.go
+++ b/pkg/settings/types_gen.go
@@ -112,6 +112,10 @@
 	// IP address and port. Other nodes connect to it, so it must name one address.
 	Listen string `toml:"listen"`
 
+	// IP address and port on which other nodes hand over calls for targets at which
+	// they have no units; empty takes none. Not available with TLS.
+	Relay string `toml:"relay"`
+
 	// Peer addresses asked first at start.
 	Seeds []string `toml:"seeds"`
 
--- a/pkg/snapshot/snapshot.go
+++ b/pkg/snapshot/snapshot.go
@@ -55,6 +55,19 @@
 	Targets []*Target
 	// Blocked stops new work at once; nil means never blocked.
 	Blocked *atomic.Bool
+	// Relays are nodes that have units of the version's targets. It is set only
+	// when this node has none.
+	Relays []*Target
+}
+
+// OwnUnits tells whether this node has a unit of any of the version's targets.
+func (v *Version) OwnUnits() bool {
+	for _, target := range v.Targets {
+		if target.Units > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // Target is a target that may receive new work from this node.
@@ -69,6 +82,8 @@
 	Local    bool
 	Cold     bool
 	Counters *target.Counters
+	// Relay tells that it is another node, to which a call is handed over.
+	Relay bool
 	// Connections is how many connections this node may have to the target; 0
 	// means as many as Units.
 	Connections int
@@ -125,6 +140,16 @@
 	})
 }
 
+// CallerNamed returns the group with a name, or nil.
+func (s *Snapshot) CallerNamed(name string) *CallerGroup {
+	for i := range s.Callers {
+		if s.Callers[i].Name == name {
+			return &s.Callers[i]
+		}
+	}
+	return nil
+}
+
 // Caller returns the group whose longest prefix has the address, or nil.
 func (s *Snapshot) Caller(address netip.Addr) *CallerGroup {
 	var found *CallerGroup
--- a/testbed/demo/fleet.go
+++ b/testbed/demo/fleet.go
@@ -96,8 +96,8 @@
 		Name: fmt.Sprintf("%s-node-%02d", f.Name, i), DataCentre: f.dataCentre(i),
 		Caller: f.address(callerPorts, i), Operator: f.address(operatorPorts, i), Peer: f.address(peerPorts, i),
 	}
-	text := fmt.Sprintf("[node]\nname = %q\ndataCentre = %q\n[callers]\nlisten = %q\n[operators]\nlisten = %q\n[peers]\nlisten = %q\nseeds = [%s]\n[platform]\nurl = %q\n",
-		n.Name, n.DataCentre, n.Caller, n.Operator, n.Peer, seeds, f.platformURL())
+	text := fmt.Sprintf("[node]\nname = %q\ndataCentre = %q\n[callers]\nlisten = %q\n[operators]\nlisten = %q\n[peers]\nlisten = %q\nrelay = %q\nseeds = [%s]\n[platform]\nurl = %q\n",
+		n.Name, n.DataCentre, n.Caller, n.Operator, n.Peer, f.address(relayPorts, i), seeds, f.platformURL())
 	path := filepath.Join(f.dir, n.Name+".toml")
 	err := os.WriteFile(path, []byte(text), 0o600)
 	if err != nil {
--- a/testbed/demo/layout.go
+++ b/testbed/demo/layout.go
@@ -91,7 +91,7 @@
 			{"engraving-media", 6, 220, 25 * time.Millisecond, 2},
 		},
 		Routes: []Route{
-			{"plaques", "plaque-registry", "GET", "/plaques/", 500, true, 200},
+			{"plaques", "plaque-registry", "GET", "/plaques/", 700, true, 200},
 			{"payments", "donor-ledger", "POST", "/payments/", 30, false, 100},
 			{"ledger", "donor-ledger", "GET", "/ledger/", 300, true, 400},
 			{"engravings", "engraving-media", "POST", "/engravings/", 10, false, 100},
@@ -109,6 +109,7 @@
 	callerPorts   = 300
 	operatorPorts = 400
 	peerPorts     = 500
+	relayPorts    = 600
 )
 
 func (d Deployment) address(offset, i int) string {
--- a/testbed/fleet/configuration_test.go
+++ b/testbed/fleet/configuration_test.go
@@ -199,3 +199,21 @@
 		})
 	}
 }
+
+// Guards against a status that never says in force again after a node died,
+// although the platform's list confirms that it is gone.
+func TestInForceAfterANodeDied(t *testing.T) {
+	inFleet(t, 5, func(g *WithT, f *fleet.Fleet) {
+		f.Kill(f.Nodes[4])
+		f.Nodes = f.Nodes[:4]
+		f.ListVMs(fleet.Targets(service, "v1", 0, 12))
+		inForce := func() bool {
+			status, known := f.Nodes[0].Backend.Fleet()
+			return known && len(status.Conditions) > 0 && status.Conditions[0].Status == api.ConditionStatusTrue
+		}
+		g.Expect(fleet.WaitUntil(2*inForceLimit, inForce)).To(BeTrue())
+		code, result := f.Nodes[0].Apply(workKind(660))
+		g.Expect(code).To(Equal(200))
+		g.Expect(fleet.WaitUntil(inForceLimit, func() bool { return allAt(f, result.Revision) && inForce() })).To(BeTrue())
+	})
+}
--- a/testbed/rolloutbench/run.go
+++ b/testbed/rolloutbench/run.go
@@ -89,7 +89,7 @@
 
 func (r *run) decide() {
 	bad, evidence := r.judge.Verdict()
-	observed := rollout.Observed{Bad: bad, Evidence: evidence, Exposure: r.judge.Exposure()}
+	observed := rollout.Observed{Bad: bad, Evidence: evidence, Exposure: r.judge.Exposure(), Timed: r.judge.TimedExposure()}
 	r.status, _ = rollout.Next(r.now, "bench", 1, r.spec, 1, r.status, observed)
 	for _, c := range r.status.Conditions {
 		if c.Type == rollout.ConditionLate && c.Status == api.ConditionStatusTrue {
