--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MODULES := ./... ./testbed/...
 TOOL := go tool -modfile=$(CURDIR)/tools/go.mod
 
-.PHONY: build bench demo test race format lint generate generated bench-rollouts
+.PHONY: build demo bench bench-rollouts bench-latency test race format lint generate generated
 
 build:
 	go build -o bin/ ./cmd/... ./testbed/cmd/...
@@ -13,10 +13,15 @@
 
 bench:
 	go run ./testbed/cmd/bench
+
 # Share of good rollouts done in time and of bad ones taken back; several minutes.
 bench-rollouts:
 	go run ./testbed/cmd/benchrollouts
 
+# Latency that a node adds to a call, against the same target called directly.
+bench-latency: build
+	bin/benchlatency
+
 test:
 	go test $(MODULES)
 
--- a/pkg/control/build.go
+++ b/pkg/control/build.go
@@ -14,7 +14,7 @@
 
 // publish builds a new snapshot when something changed that traffic must see.
 func (c *Controller) publish(now time.Time) {
-	isolated := c.isolated(now)
+	isolated := c.extendValidity(now)
 	if c.current != nil && c.current.Isolated != isolated {
 		c.options.Log.Warn().Bool("isolated", isolated).Msg("isolation changed")
 		c.dirty = true
@@ -43,6 +43,7 @@
 	c.counted = counted
 	c.joined = joined
 	c.ranks = map[string]int{}
+	c.ranked = map[string][]string{}
 	c.dirty = true
 }
 
@@ -58,12 +59,20 @@
 	return true
 }
 
-// isolated tells that this node hears neither the platform nor any of the nodes
-// that it knows of.
-func (c *Controller) isolated(now time.Time) bool {
+// extendValidity tells whether this node is isolated: it hears neither the
+// platform nor any of the nodes that it knows of. A node that knows of no other
+// node keeps serving.
+func (c *Controller) extendValidity(now time.Time) bool {
+	heard := c.heardPeersAt()
+	if c.platformHeardAt.After(heard) {
+		heard = c.platformHeardAt
+	}
 	alone := len(c.members.Members()) <= 1
-	platformSilent := now.Sub(c.platformHeardAt) >= isolationTime
-	return !alone && platformSilent && now.Sub(c.heardPeersAt()) >= isolationTime
+	if alone {
+		heard = now
+	}
+	c.validity.Extend(heard.Add(isolationTime))
+	return now.Sub(heard) >= isolationTime
 }
 
 // units returns this node's part of a target's limit. A node that has not joined
@@ -86,7 +95,7 @@
 
 // build joins the configuration, the targets and the moves.
 func (c *Controller) build(isolated bool) *snapshot.Snapshot {
-	next := &snapshot.Snapshot{Revision: c.set.Revision, Isolated: isolated, Callers: buildCallers(c.set.Callers)}
+	next := &snapshot.Snapshot{Revision: c.set.Revision, Isolated: isolated, Validity: &c.validity, Callers: buildCallers(c.set.Callers)}
 	targets := c.targetsByService()
 	services := map[string]*snapshot.Service{}
 	for name, spec := range c.set.Services {
@@ -121,6 +130,7 @@
 			continue
 		}
 		units := c.units(entry)
+		c.totals[entry.Address] = entry.Units
 		found[entry.Service] = append(found[entry.Service], &snapshot.Target{
 			Address: entry.Address, DataCentre: entry.DataCentre, Version: entry.Version, Units: units,
 			Connections: max(units, c.set.Services[entry.Service].MaxConnections/len(c.counted)),
@@ -142,10 +152,14 @@
 			{Name: declared.To, Share: part, Targets: ofVersion(targets, declared.To)},
 		}
 	}
-	for _, version := range service.Versions {
+	for i := range service.Versions {
+		version := &service.Versions[i]
 		for _, t := range version.Targets {
 			service.Units += t.Units
 		}
+		if c.joined && !version.OwnUnits() {
+			version.Relays = c.relays(version.Targets)
+		}
 	}
 	return service
 }
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -15,9 +15,10 @@
 	"github.com/fireflychute/fireflychute/pkg/transport"
 )
 
-// coldRequests is how many requests a cold target may answer slowly before that
-// counts against its version.
-const coldRequests = 200
+// coldRequests is how many requests a cold target may serve slowly, to all nodes
+// together, before that counts against its version. A ramp to 12 units ends after
+// about as many.
+const coldRequests = 100
 
 // try sends the request to the chosen target. It returns true when the request
 // is finished.
@@ -29,12 +30,12 @@
 	if c.ctx.Err() != nil {
 		return !c.giveUp(time.Second, reasonDeadline)
 	}
-	header := headersToTarget(c, c.deadline.Sub(c.handler.now()))
-	span := c.span.Try(chosen.Address, c.names(), fmt.Sprintf("%+v", c.chosen.evidence), header)
+	header := c.outgoingHeaders()
+	span := c.startSpan(header)
 	sent := c.handler.now()
 	chosen.Counters.Sent.Add(1)
 	answer, err := c.handler.options.Client.Do(c.outgoing(header), connectionsTo(chosen))
-	c.tries[len(c.tries)-1].LatencyMicros = c.handler.now().Sub(sent).Microseconds()
+	c.tries[len(c.tries)-1].latency = c.handler.now().Sub(sent)
 	if err != nil {
 		span.End(0, err.Error())
 		return c.failed(err, sent)
@@ -50,22 +51,58 @@
 	return true
 }
 
+func (c *call) outgoingHeaders() http.Header {
+	remaining := c.deadline.Sub(c.handler.now())
+	if c.chosen.target.Relay {
+		return headersToRelay(c, remaining)
+	}
+	return headersToTarget(c, remaining)
+}
+
 func (c *call) note() {
 	c.metrics.Count(telemetry.Tries)
 	if len(c.tried) > 1 {
 		c.metrics.Count(telemetry.Retries)
 	}
-	c.tries = append(c.tries, explain.Try{Target: c.chosen.target.Address, Version: c.chosen.target.Version, Candidates: c.names(), Evidence: c.chosen.evidence})
+	c.tries = append(c.tries, try{choice: c.chosen})
+}
+
+// startSpan starts the span of a try; the attributes are only made for a request
+// that is sampled.
+func (c *call) startSpan(header http.Header) *telemetry.Span {
+	if c.span == nil {
+		return nil
+	}
+	return c.span.Try(c.chosen.target.Address, c.chosen.names(), fmt.Sprintf("%+v", c.chosen.evidence), header)
 }
 
-func (c *call) names() []string {
-	names := make([]string, len(c.chosen.among))
-	for i, t := range c.chosen.among {
+// try is a try of a request as it is remembered for explain.
+type try struct {
+	choice
+	failure string
+	latency time.Duration // to the answer's header or to the failure
+}
+
+func (c *choice) names() []string {
+	names := make([]string, len(c.among))
+	for i, t := range c.among {
 		names[i] = t.Address
 	}
 	return names
 }
 
+func explained(tries []try) []explain.Try {
+	told := make([]explain.Try, len(tries))
+	for i := range tries {
+		t := &tries[i]
+		told[i] = explain.Try{
+			Target: t.target.Address, Version: t.target.Version, Candidates: t.names(), Evidence: t.evidence,
+			Failure: t.failure, LatencyMicros: t.latency.Microseconds(),
+		}
+	}
+	return told
+}
+
 func connectionsTo(t *snapshot.Target) int {
 	if t.Connections > 0 {
 		return t.Connections
@@ -131,7 +168,7 @@
 	if outcome == retry.Unknown {
 		c.unknown++
 	}
-	c.tries[len(c.tries)-1].Failure = failure
+	c.tries[len(c.tries)-1].failure = failure
 	return c.gate.budget.Decide(retry.Try{
 		Outcome: outcome, Tries: len(c.tried), Unknown: c.unknown, Idempotent: c.route.Work.Idempotent,
 		Depth: c.depth, NoRetry: c.noRetry, Consumed: consumed, Expired: c.ctx.Err() != nil,
@@ -210,7 +247,7 @@
 		c.gate.budget.Succeeded()
 	}
 	recorder := c.route.Recorders[chosen.Version]
-	if !ran || recorder == nil {
+	if !ran || recorder == nil || chosen.Relay {
 		return
 	}
 	if isTimed(chosen) {
@@ -224,6 +261,6 @@
 // cold target is slow whatever its version; a target that stays cold after many
 // requests is not.
 func isTimed(chosen *snapshot.Target) bool {
-	counters := chosen.Counters
-	return !chosen.Cold || counters.Succeeded.Load()+counters.Slow.Load()+counters.Failed.Load() > coldRequests
+	report := chosen.Counters.LastReport.Load()
+	return !chosen.Cold || report != nil && report.Served > coldRequests
 }
--- a/pkg/proxy/handler.go
+++ b/pkg/proxy/handler.go
@@ -119,6 +119,7 @@
 	handler *Handler
 	w       http.ResponseWriter
 	request *http.Request
+	view    *snapshot.Snapshot
 	route   *snapshot.Route
 	version *snapshot.Version
 	gate    *gate
@@ -130,6 +131,8 @@
 	id      string
 	depth   int
 	noRetry bool
+	// relayed tells that another node handed the call over.
+	relayed bool
 
 	ctx      context.Context
 	deadline time.Time
@@ -139,7 +142,7 @@
 	unknown int // tries with an unknown outcome
 	claimed bool
 	body    *tryBody
-	tries   []explain.Try
+	tries   []try
 }
 
 // ServeHTTP implements http.Handler.
@@ -148,7 +151,7 @@
 	defer h.inFlight.Add(-1)
 	random := h.randoms.Get().(*rand.Rand)
 	defer h.randoms.Put(random)
-	c := &call{handler: h, w: w, request: r, random: random, began: h.now()}
+	c := &call{handler: h, w: w, request: r, random: random, began: h.now(), relayed: isRelayed(r)}
 	c.identify()
 	w.Header().Set(HeaderNode, h.options.Node)
 	w.Header().Set(HeaderRequestID, c.id)
@@ -184,15 +187,16 @@
 // request itself when it returns false.
 func (c *call) match() bool {
 	view := c.handler.options.Published.Load()
-	if view == nil || view.Revision == 0 || view.Isolated {
+	if !usable(view, c.began) {
 		return c.refuse(http.StatusServiceUnavailable, time.Second, reasonNoConfiguration)
 	}
+	c.view = view
 	c.route = view.Match(c.request.Method, c.request.URL.Path)
 	if c.route == nil || c.route.Service == nil {
 		return c.refuse(http.StatusNotFound, 0, reasonNoRoute)
 	}
 	c.metrics = c.handler.options.Telemetry.Route(c.route.Name)
-	c.caller = view.Caller(sourceOf(c.request))
+	c.caller = c.findCaller()
 	var ok bool
 	c.depth, ok = readDepth(c.request.Header)
 	c.noRetry = c.request.Header.Get(HeaderNoRetry) != ""
@@ -218,6 +222,30 @@
 	return defaultBodyBytes
 }
 
+// findCaller returns the group of the caller. The listener for other nodes is the
+// only one on which the name of the group is taken from the call.
+func (c *call) findCaller() *snapshot.CallerGroup {
+	if c.relayed {
+		return c.view.CallerNamed(c.request.Header.Get(headerCaller))
+	}
+	return c.view.Caller(sourceOf(c.request))
+}
+
+// pickVersion draws a version; a call that was handed over comes with one.
+func (c *call) pickVersion() *snapshot.Version {
+	name := c.request.Header.Get(headerVersion)
+	if !c.relayed || name == "" {
+		return pickVersion(c.route.Service, c.random)
+	}
+	for i := range c.route.Service.Versions {
+		version := &c.route.Service.Versions[i]
+		if version.Name == name {
+			return version
+		}
+	}
+	return nil
+}
+
 func sourceOf(r *http.Request) netip.Addr {
 	source, err := netip.ParseAddrPort(r.RemoteAddr)
 	if err != nil {
@@ -232,7 +260,6 @@
 	if c.request.Body != nil && c.request.Body != http.NoBody {
 		c.request.Body = http.MaxBytesReader(c.w, c.request.Body, c.maxBody())
 	}
-	c.version = pickVersion(c.route.Service, c.random)
 	for {
 		if !c.admit() || !c.claim() {
 			return
@@ -245,19 +272,44 @@
 
 // admit reserves a unit, waiting for one if needed.
 func (c *call) admit() bool {
-	if c.version == nil || len(c.candidates()) == 0 {
+	if c.gate.waiting.Load() > 0 || !c.choose() {
+		waiting := c.handler.now()
+		refusal := c.gate.wait(c.ctx, c.admission(), c.choose)
+		c.metrics.Time(telemetry.QueueDuration, c.handler.now().Sub(waiting))
+		if refusal != nil {
+			return c.giveUp(refusal.RetryAfter, string(refusal.Reason))
+		}
+	}
+	if c.chosen.target == nil {
 		return c.giveUp(time.Second, reasonNoTarget)
 	}
-	if c.gate.waiting.Load() == 0 && c.choose() {
-		return true
+	return true
+}
+
+// usable tells whether new calls may be served by a snapshot.
+func usable(view *snapshot.Snapshot, now time.Time) bool {
+	return view != nil && view.Revision > 0 && !view.Isolated && view.Validity.Valid(now)
+}
+
+// refresh moves the call to the newest snapshot, because a call that waited must
+// not be sent by a configuration that is no longer in force. It fails when the
+// call would now be treated in another way or must not be served.
+func (c *call) refresh() bool {
+	view := c.handler.options.Published.Load()
+	if !usable(view, c.handler.now()) {
+		return false
 	}
-	waiting := c.handler.now()
-	refusal := c.gate.wait(c.ctx, c.admission(), c.choose)
-	c.metrics.Time(telemetry.QueueDuration, c.handler.now().Sub(waiting))
-	if refusal != nil {
-		return c.giveUp(refusal.RetryAfter, string(refusal.Reason))
+	if view == c.view && c.version != nil {
+		return shareOf(c.version) > 0
 	}
-	return true
+	route := view.Match(c.request.Method, c.request.URL.Path)
+	if route == nil || route.Service == nil || route.Service.Name != c.route.Service.Name || route.WorkName != c.route.WorkName {
+		return false
+	}
+	c.view = view
+	c.route = route
+	c.version = c.pickVersion()
+	return c.version != nil
 }
 
 func (c *call) admission() admission.Request {
@@ -273,7 +325,7 @@
 // claim records the idempotency key, once, before the first sending.
 func (c *call) claim() bool {
 	key := c.request.Header.Get(headerKey)
-	if c.claimed || key == "" || c.route.Work.Idempotent || !c.route.Work.Deduplicate {
+	if c.claimed || c.relayed || key == "" || c.route.Work.Idempotent || !c.route.Work.Deduplicate {
 		return true
 	}
 	if c.handler.options.Deduplicator == nil {
@@ -347,7 +399,7 @@
 		return
 	}
 	decision := explain.Decision{
-		RequestID: c.id, Time: c.began, Tries: c.tries, Refused: outcome == OutcomeNotRun,
+		RequestID: c.id, Time: c.began, Tries: explained(c.tries), Refused: outcome == OutcomeNotRun,
 		Status: status, Outcome: outcome, Reason: reason,
 	}
 	if c.route != nil {
--- a/pkg/proxy/handler_test.go
+++ b/pkg/proxy/handler_test.go
@@ -20,6 +20,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/snapshot"
 	"github.com/fireflychute/fireflychute/pkg/target"
 	"github.com/fireflychute/fireflychute/pkg/telemetry"
 )
@@ -52,10 +53,10 @@
 		}
 		refuseNotRun(w, r)
 	}
-	b := newBench(t, api.WorkKindSpec{Idempotent: true}, once, once)
+	b := newBench(t, api.WorkKindSpec{Idempotent: true}, once, once, once)
 	answer, _, err := b.call(t.Context(), http.MethodGet, "")
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(runs.Load()).To(Equal(int32(2)))
+	g.Expect(runs.Load()).To(Equal(int32(3)))
 	g.Expect(answer.Header.Get(HeaderOutcome)).To(Equal(OutcomeUnknown))
 	g.Expect(answer.StatusCode).To(Equal(http.StatusBadGateway))
 }
@@ -121,6 +122,63 @@
 	g.Expect(runs.Load()).To(Equal(int32(1)))
 }
 
+// Guards (P3) against a call that waited for a unit being sent by a snapshot that
+// was replaced in the meantime.
+func TestWaitingCallUsesTheNewestSnapshot(t *testing.T) {
+	g := NewWithT(t)
+	release := make(chan struct{})
+	entered := make(chan struct{})
+	var runs atomic.Int32
+	b := newBench(t, api.WorkKindSpec{}, func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		entered <- struct{}{}
+		<-release
+	})
+	b.version.Targets[0].Units = 1
+	outcomes := make(chan string, 2)
+	send := func() {
+		answer, _, err := b.call(t.Context(), http.MethodPost, "")
+		if err != nil {
+			outcomes <- err.Error()
+			return
+		}
+		outcomes <- answer.Header.Get(HeaderOutcome)
+	}
+	go send()
+	<-entered
+	go send()
+	service := b.gate(b.route.Service)
+	g.Eventually(func() int64 { return service.waiting.Load() }).Should(Equal(int64(1)))
+	emptied := *b.route
+	emptied.Service = &snapshot.Service{Name: "s", Versions: []snapshot.Version{{Name: "v1", Share: 1}}}
+	b.options.Published.Store(&snapshot.Snapshot{Revision: 2, Routes: []*snapshot.Route{&emptied}})
+	b.Recheck()
+	g.Expect(<-outcomes).To(Equal(OutcomeNotRun))
+	close(release)
+	g.Expect(<-outcomes).To(BeEmpty())
+	g.Expect(runs.Load()).To(Equal(int32(1)))
+}
+
+// Guards (P10) against new work at a node that was paused and has not heard
+// anyone since.
+func TestExpiredSnapshotIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(t, api.WorkKindSpec{}, func(http.ResponseWriter, *http.Request) {})
+	view := *b.options.Published.Load()
+	view.Validity = &snapshot.Validity{}
+	b.options.Published.Store(&view)
+	for _, valid := range []bool{true, false} {
+		end := time.Now().Add(-time.Second)
+		if valid {
+			end = time.Now().Add(time.Hour)
+		}
+		view.Validity.Extend(end)
+		answer, _, err := b.call(t.Context(), http.MethodPost, "")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.StatusCode == http.StatusOK).To(Equal(valid))
+	}
+}
+
 // keys is a Deduplicator in memory.
 type keys struct {
 	used sync.Map
@@ -442,3 +500,19 @@
 	g.Expect(page.Body.String()).To(MatchRegexp(`refusals_total\{.*reason="no_target",route="r"\} 1`))
 	g.Expect(page.Body.String()).To(MatchRegexp(`refusals_total\{.*reason="no_route",route=""\} 1`))
 }
+
+// Guards against a request past its deadline being reported as not run or retried.
+func TestDeadlineAtTargetIsUnknown(t *testing.T) {
+	g := NewWithT(t)
+	var runs atomic.Int32
+	stall := func(_ http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		<-r.Context().Done()
+	}
+	b := newBench(t, api.WorkKindSpec{Idempotent: true, TimeoutMs: 5000}, stall, stall)
+	answer, _, err := b.call(t.Context(), http.MethodGet, "", HeaderTimeout, "500")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(answer.StatusCode).To(Equal(http.StatusGatewayTimeout))
+	g.Expect(answer.Header.Get(HeaderOutcome)).To(Equal(OutcomeUnknown))
+	g.Expect(runs.Load()).To(Equal(int32(1)))
+}
--- a/pkg/proxy/pick.go
+++ b/pkg/proxy/pick.go
@@ -34,7 +34,7 @@
 			break
 		}
 	}
-	if picked == nil || hasUnits(picked) {
+	if picked == nil || hasUnits(picked) || len(picked.Relays) > 0 {
 		return picked
 	}
 	return mainVersion(service)
@@ -70,12 +70,18 @@
 	evidence balance.Evidence
 }
 
-// choose picks a target among those not tried yet and reserves a unit of it.
+// choose picks a target among those not tried yet and reserves a unit of it. It
+// returns false when waiting for a unit makes sense, and true without a chosen
+// target when there is none to wait for.
 func (c *call) choose() bool {
-	if shareOf(c.version) <= 0 {
-		return false
+	c.chosen = choice{}
+	if !c.refresh() {
+		return true
 	}
 	among := c.candidates()
+	if len(among) == 0 {
+		return true
+	}
 	states := make([]balance.Candidate, len(among))
 	for range among {
 		for i, target := range among {
@@ -93,17 +99,28 @@
 	return false
 }
 
+// candidates returns the targets that may take the call, or nodes that may when
+// this node has no unit of any target. A call is handed over once at most.
 func (c *call) candidates() []*snapshot.Target {
-	among := make([]*snapshot.Target, 0, len(c.version.Targets))
+	targets := c.version.Targets
+	if !c.relayed && !c.version.OwnUnits() {
+		targets = c.version.Relays
+	}
+	among := make([]*snapshot.Target, 0, len(targets))
 	now := nanos(c.handler.now())
-	for _, target := range c.version.Targets {
-		if takesWork(target, now) && !slices.Contains(c.tried, target) {
+	for _, target := range targets {
+		if takesWork(target, now) && !c.wasTried(target) {
 			among = append(among, target)
 		}
 	}
 	return among
 }
 
+// wasTried compares by counters, which a target keeps from snapshot to snapshot.
+func (c *call) wasTried(target *snapshot.Target) bool {
+	return slices.ContainsFunc(c.tried, func(tried *snapshot.Target) bool { return tried.Counters == target.Counters })
+}
+
 func takesWork(t *snapshot.Target, nowNanos int64) bool {
 	return t.Units > 0 && !t.Counters.Leaving.Load() && !t.Counters.Held(nowNanos)
 }
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -69,7 +69,7 @@
 // Metrics is the table of all metrics, from which the instruments and the page
 // docs/metrics.md are made.
 var Metrics = []Metric{
-	{Requests, Counter, "{request}", "Requests answered, by route and class of status.", []string{"route", "class"}},
+	{Requests, Counter, "{request}", "Requests answered, by route and class of status. A request that was handed over counts at both nodes.", []string{"route", "class"}},
 	{RequestDuration, Histogram, "s", "Time from a request's arrival to the end of its answer, by route and class of status.", []string{"route", "class"}},
 	{Tries, Counter, "{try}", "Requests sent to targets, retries included, by route.", []string{"route"}},
 	{Retries, Counter, "{try}", "Tries after the first one, by route.", []string{"route"}},
