Judge the limit of a returned data centre by the use of its units over time

Cause: a cold target counted as limited by its ramp when a single sample found its units in use.

The owner now averages the use over about two seconds and reports a target above 70%.

Ruled out: fewer calm steps (does not say anything then).

--- a/pkg/control/build.go
+++ b/pkg/control/build.go
@@ -126,6 +126,7 @@
 func (c *Controller) targetsByService() map[string][]*snapshot.Target {
 	found := map[string][]*snapshot.Target{}
 	for _, entry := range c.registry.Entries() {
+		c.noteCold(entry)
 		if entry.Leaving || c.set.DataCentres[entry.DataCentre].State != api.DataCentreStateIn {
 			continue
 		}
@@ -140,6 +141,16 @@
 	return found
 }
 
+// noteCold keeps track of the cold targets of which this node has the first unit.
+func (c *Controller) noteCold(entry target.Entry) {
+	units := c.units(entry)
+	if entry.Cold && !entry.Leaving && c.joined && c.ranks[entry.Address] == 0 {
+		c.cold.keep(entry, units)
+		return
+	}
+	delete(c.cold, entry.Address)
+}
+
 func (c *Controller) buildService(name string, spec api.ServiceSpec, targets []*snapshot.Target) *snapshot.Service {
 	service := &snapshot.Service{Name: name, Spec: spec}
 	key, declared, ok := c.rolloutOf(name)
--- a/pkg/control/controller.go
+++ b/pkg/control/controller.go
@@ -48,6 +48,7 @@
 	ranked          map[string][]string // nodes by rank, by target address
 	totals          map[string]int      // units of all nodes, by target address
 	relayed         map[string]*target.Counters
+	cold            coldTargets
 	validity        snapshot.Validity
 	current         *snapshot.Snapshot
 	// unusedBlobs is what the last collection of specs found unused.
@@ -74,6 +75,7 @@
 		ranked:    map[string][]string{},
 		totals:    map[string]int{},
 		relayed:   map[string]*target.Counters{},
+		cold:      coldTargets{},
 		startedAt: now,
 	}
 	c.blobsCollectedAt = now
@@ -110,6 +112,7 @@
 	c.send(c.members.Tick(now))
 	c.registry.AssumeFleet(c.members.FleetSize(now))
 	c.collectTargets(now)
+	c.cold.sample()
 	c.startProbes(now)
 	c.stepLeases(now)
 	c.stepSync(now)
--- a/pkg/control/moves.go
+++ b/pkg/control/moves.go
@@ -9,7 +9,6 @@
 	"github.com/fireflychute/fireflychute/pkg/membership"
 	"github.com/fireflychute/fireflychute/pkg/message"
 	"github.com/fireflychute/fireflychute/pkg/platform"
-	"github.com/fireflychute/fireflychute/pkg/target"
 )
 
 // reportAge is how long a node's report on a data centre counts.
@@ -107,7 +106,7 @@
 			loads[entry.DataCentre] = load
 			continue
 		}
-		if !entry.Leaving && c.owns(entry) && holdsBack(entry) {
+		if !entry.Leaving && c.cold.limited(entry.Address) {
 			load.limited++
 			loads[entry.DataCentre] = load
 		}
@@ -115,20 +114,6 @@
 	return loads
 }
 
-// owns tells that this node has the first unit of a target.
-func (c *Controller) owns(entry target.Entry) bool {
-	c.units(entry)
-	return c.joined && c.ranks[entry.Address] == 0
-}
-
-// holdsBack tells that a cold target is limited by its ramp. One whose reported
-// load leaves units free serves what there is for it, and may stay cold for long
-// where there is little traffic.
-func holdsBack(entry target.Entry) bool {
-	report := entry.Counters.LastReport.Load()
-	return entry.Cold && report != nil && report.InFlight >= entry.Units
-}
-
 // stepDataCentres computes the next status of each data centre and stores what changed.
 func (c *Controller) stepDataCentres(now time.Time) {
 	for name, spec := range c.set.DataCentres {
