--- a/pkg/control/controller.go
+++ b/pkg/control/controller.go
@@ -48,6 +48,7 @@
 	ranked          map[string][]string // nodes by rank, by target address
 	totals          map[string]int      // units of all nodes, by target address
 	relayed         map[string]*target.Counters
+	cold            coldTargets
 	validity        snapshot.Validity
 	current         *snapshot.Snapshot
 	// unusedBlobs is what the last collection of specs found unused.
@@ -75,6 +76,7 @@
 		ranked:    map[string][]string{},
 		totals:    map[string]int{},
 		relayed:   map[string]*target.Counters{},
+		cold:      coldTargets{},
 		startedAt: now,
 
 		probesByTarget: map[string]uint64{},
@@ -113,6 +115,7 @@
 	c.send(c.members.Tick(now))
 	c.registry.AssumeFleet(c.members.FleetSize(now))
 	c.collectTargets(now)
+	c.cold.sample()
 	c.startProbes(now)
 	c.stepLeases(now)
 	c.stepSync(now)
