Classify lost writes and forgotten watch versions of the platform

Cause: the client reported 500, 502 and 504 on a write as unavailable, although the write may have taken effect, so a lease holder's or an operator's commit was answered as refused. A watch from a version that the platform no longer keeps (410) was reported as an outage; the watcher asked for the same version again for as long as it held its lease, and each change waited for the fallback readers, which read every 15 s.

Writes now fail with ErrUnknownOutcome on every server error but 503, and a 410 is ErrForgotten, after which the watcher lists the manifest and goes on from the version of the list.

Ruled out: restarting the watch from version 0, which the platform may have forgotten too.

--- a/pkg/control/watch.go
+++ b/pkg/control/watch.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/fireflychute/fireflychute/pkg/platform"
 )
 
@@ -27,20 +29,21 @@
 }
 
 // watchManifest follows the manifest until ctx ends. The version only grows, so
-// that an answer of an old watch brings nothing back.
+// that an answer of an old watch brings nothing back. When the platform no longer
+// keeps the version, the manifest is read and the watch goes on from there.
 func (c *Controller) watchManifest(ctx context.Context, version uint64) {
 	for ctx.Err() == nil {
-		events, next, err := c.options.Store.Watch(ctx, platform.KindManifest, version)
+		objects, next, err := c.nextManifests(ctx, version)
 		c.post(func(now time.Time) { c.heardPlatform(now, err) })
 		if err != nil {
 			pause(ctx, watchRetryTime)
 			continue
 		}
 		version = max(version, next)
-		if len(events) == 0 {
+		if len(objects) == 0 {
 			continue
 		}
-		object := events[len(events)-1].Object
+		object := objects[len(objects)-1]
 		c.post(func(time.Time) {
 			c.sync.announced(object.Version, c.options.Self.Address)
 			c.loadBlobs(object)
@@ -48,6 +51,22 @@
 	}
 }
 
+// nextManifests waits for manifests after a version, oldest first, and returns the
+// version to go on from.
+func (c *Controller) nextManifests(ctx context.Context, version uint64) ([]platform.Object, uint64, error) {
+	events, next, err := c.options.Store.Watch(ctx, platform.KindManifest, version)
+	if errors.Is(err, platform.ErrForgotten) {
+		ctx, cancel := context.WithTimeout(ctx, platformCallTime)
+		defer cancel()
+		return c.options.Store.List(ctx, platform.KindManifest)
+	}
+	objects := make([]platform.Object, 0, len(events))
+	for _, event := range events {
+		objects = append(objects, event.Object)
+	}
+	return objects, next, err
+}
+
 // watchVMs follows the list of VMs until ctx ends.
 func (c *Controller) watchVMs(ctx context.Context, version uint64) {
 	for ctx.Err() == nil {
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -141,7 +141,7 @@
 	}
 	defer drain(answer.Body)
 	if answer.StatusCode != http.StatusOK {
-		return 0, c.fail(step, statusError(answer.StatusCode), retryAfter(answer))
+		return 0, c.fail(step, writeStatusError(answer.StatusCode), retryAfter(answer))
 	}
 	var object Object
 	err = json.NewDecoder(io.LimitReader(answer.Body, maxAnswerBytes)).Decode(&object)
@@ -171,11 +171,23 @@
 		return ErrConflict
 	case http.StatusTooManyRequests:
 		return ErrRateLimited
+	case http.StatusGone:
+		return ErrForgotten
 	default:
 		return ErrUnavailable
 	}
 }
 
+// writeStatusError classifies the status of a write. Of the server errors only
+// 503 is a refusal; the others can come from a gateway, or from a step after the
+// write took effect.
+func writeStatusError(status int) error {
+	if status >= http.StatusInternalServerError && status != http.StatusServiceUnavailable {
+		return ErrUnknownOutcome
+	}
+	return statusError(status)
+}
+
 func retryAfter(answer *http.Response) time.Duration {
 	seconds, err := strconv.Atoi(answer.Header.Get("Retry-After"))
 	if err != nil {
--- a/pkg/platform/errors.go
+++ b/pkg/platform/errors.go
@@ -14,6 +14,7 @@
 	ErrRateLimited    = errors.New("platform refused the call by rate")
 	ErrUnavailable    = errors.New("platform unavailable")
 	ErrUnknownOutcome = errors.New("answer lost; the write may have taken effect")
+	ErrForgotten      = errors.New("platform no longer keeps the version to watch from")
 )
 
 // CallError says in which step a call failed and at which peer.
--- a/pkg/platform/store.go
+++ b/pkg/platform/store.go
@@ -53,6 +53,8 @@
 	Delete(ctx context.Context, kind, name string, ifVersion uint64) error
 	// Watch waits for events of a kind after a version. It returns an empty
 	// slice when the platform's waiting time ends, and the version to go on from.
+	// It fails with ErrForgotten when the platform no longer keeps the events since
+	// that version; List then gives the objects and a version to go on from.
 	Watch(ctx context.Context, kind string, after uint64) ([]Event, uint64, error)
 	// VMs waits for a list of VMs newer than after and returns it. The answer may
 	// have the same version when the waiting time ended.
--- /dev/null
+++ b/testbed/fleet/watch_test.go
@@ -0,0 +1,41 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fireflychute/fireflychute/testbed/fleet"
+)
+
+// Guards against a watcher that never gets past a version that the platform has
+// forgotten: every later change would then wait for the readers of last resort,
+// which read every 15 s.
+func TestWatchResumesAfterForgottenVersion(t *testing.T) {
+	inFleet(t, 7, func(g *WithT, f *fleet.Fleet) {
+		time.Sleep(20 * time.Second) // the leases are held by now
+		for _, node := range f.Nodes {
+			node.CutOff.Store(true)
+		}
+		f.Nodes[1].CutOff.Store(false)
+		code, missed := f.Nodes[1].Apply(workKind(700))
+		g.Expect(code).To(Equal(200))
+		f.Platform.ForgetHistory()
+		time.Sleep(3 * time.Second)
+		for _, node := range f.Nodes {
+			node.CutOff.Store(false)
+		}
+		time.Sleep(inForceLimit)
+		g.Expect(allAt(f, missed.Revision)).To(BeTrue())
+		for round := range 3 {
+			code, result := f.Nodes[1].Apply(workKind(701 + round))
+			g.Expect(code).To(Equal(200))
+			g.Expect(fleet.WaitUntil(watchLimit, func() bool { return allAt(f, result.Revision) })).To(BeTrue(), "round %d", round)
+		}
+	})
+}
+
+// watchLimit is the time of a change through a working watch: the watch answers
+// at once and peers fetch after one or two gossip rounds.
+const watchLimit = 3 * time.Second
--- a/testbed/platform/direct.go
+++ b/testbed/platform/direct.go
@@ -156,6 +156,8 @@
 		return client.ErrNotFound
 	case errors.Is(err, errConflict):
 		return client.ErrConflict
+	case errors.Is(err, errExpired):
+		return client.ErrForgotten
 	default:
 		return client.ErrUnavailable
 	}
--- a/testbed/platform/platform_test.go
+++ b/testbed/platform/platform_test.go
@@ -91,7 +91,7 @@
 		g.Expect(err).NotTo(HaveOccurred())
 	}
 	_, _, err := c.Watch(t.Context(), kind, 0)
-	g.Expect(err).To(HaveOccurred())
+	g.Expect(err).To(MatchError(client.ErrForgotten))
 	events, _, err := c.Watch(t.Context(), kind, 1)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(events).To(HaveLen(maxHistory))
--- a/testbed/platform/server.go
+++ b/testbed/platform/server.go
@@ -69,6 +69,14 @@
 	return s.gate.counts
 }
 
+// ForgetHistory makes watches from earlier versions fail, as they do once the
+// platform dropped the events after them.
+func (s *Server) ForgetHistory() {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	s.store.forget(len(s.store.history))
+}
+
 // SetVMs replaces the VM list after the lag that the faults declare.
 func (s *Server) SetVMs(vms []api.VM) {
 	s.gate.mu.Lock()
--- a/testbed/platform/store.go
+++ b/testbed/platform/store.go
@@ -32,6 +32,8 @@
 	version uint64
 	objects map[key]client.Object
 	history []client.Event
+	// forgotten is the newest version whose event is no longer kept.
+	forgotten uint64
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
@@ -99,19 +101,26 @@
 
 func (s *store) record(event client.Event) {
 	s.history = append(s.history, event)
-	if len(s.history) > maxHistory {
-		s.history = s.history[len(s.history)-maxHistory:]
-	}
+	s.forget(max(0, len(s.history)-maxHistory))
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// forget drops the oldest events. It is called with the lock held.
+func (s *store) forget(count int) {
+	if count == 0 {
+		return
+	}
+	s.forgotten = s.history[count-1].Object.Version
+	s.history = s.history[count:]
+}
+
 // since returns the events of a kind after a version, the version reached, and
 // a channel that is closed at the next change.
 func (s *store) since(kind string, after uint64) ([]client.Event, uint64, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.history) == maxHistory && s.history[0].Object.Version > after+1 {
+	if after < s.forgotten {
 		return nil, s.version, s.changed, errExpired
 	}
 	found := []client.Event{}
