Render the matrix of faults and steps from the tests that ran

Cause: which fault at which step is covered could only be found by reading all tests.

A test names the cells that it proves with faultmatrix.Proves; a run with FAULT_MATRIX_FILE set records its verdict, and "make faults-page" renders docs/FAULTS.md. A failed test turns its cells red, also when another test passed there. The registration is in internal/ of the root module, which both modules may import; page and reasons are in the testbed module.

Ruled out: a list kept by hand, which shows a cell as proved after its test was removed or failed.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MODULES := ./... ./testbed/...
 TOOL := go tool -modfile=$(CURDIR)/tools/go.mod
 
-.PHONY: build bench demo test race format lint generate generated bench-rollouts
+.PHONY: build bench demo test race faults-page format lint generate generated bench-rollouts
 
 build:
 	go build -o bin/ ./cmd/... ./testbed/cmd/...
@@ -23,11 +23,17 @@
 race:
 	go test -race $(MODULES)
 
+# Renders docs/FAULTS.md from a run of all tests; a failed test leaves its cells red.
+faults-page:
+	@records=$$(mktemp) && trap 'rm -f "$$records"' EXIT && verdict=0; \
+	FAULT_MATRIX_FILE=$$records go test -count=1 $(MODULES) || verdict=1; \
+	go run ./testbed/cmd/faultspage --records "$$records" --output docs/FAULTS.md && exit $$verdict
+
 format:
-	GOWORK=off $(TOOL) gofumpt -w cmd pkg testbed
+	GOWORK=off $(TOOL) gofumpt -w cmd internal pkg testbed
 
 lint:
-	@unformatted=$$(GOWORK=off $(TOOL) gofumpt -l cmd pkg testbed); \
+	@unformatted=$$(GOWORK=off $(TOOL) gofumpt -l cmd internal pkg testbed); \
 	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
 	go vet $(MODULES)
 	staticcheck=$$(GOWORK=off $(TOOL) -n staticcheck) && $$staticcheck -checks all,-ST1005,-ST1016 $(MODULES)
--- /dev/null
+++ b/internal/faultmatrix/axes.go
@@ -0,0 +1,93 @@
+package faultmatrix
+
+// Fault is a row of the matrix.
+type Fault string
+
+// Faults of targets, nodes, the platform, and of operators and networks.
+const (
+	TargetSlow          Fault = "target slow"
+	TargetFailing       Fault = "target failing"
+	TargetDraining      Fault = "target draining"
+	TargetCold          Fault = "target cold again"
+	TargetCutOff        Fault = "target cut off"
+	AnswerLateOrCrossed Fault = "late or crossed answer"
+	ConnectionClosed    Fault = "connection closed at this step"
+
+	NodeKilled          Fault = "node killed"
+	NodePaused          Fault = "node paused past its lease"
+	NodeRestarted       Fault = "node restarted"
+	NodeCutFromPlatform Fault = "node cut from the platform"
+	NodeCutFromPeers    Fault = "node cut from peers"
+
+	PlatformDown     Fault = "platform down"
+	PlatformSlow     Fault = "platform slow"
+	PlatformRefusing Fault = "platform refusing by rate"
+	AnswerLost       Fault = "platform's answer lost after the write"
+	WatchBroken      Fault = "watch broken"
+	WatchForgotten   Fault = "watch resumed at a forgotten version"
+	VMListStale      Fault = "VM list stale"
+
+	OperatorsRace  Fault = "operators racing"
+	DataCentreLost Fault = "data centre lost"
+	RegionsParted  Fault = "regions parted"
+	ClockOff       Fault = "clock of a node off"
+)
+
+// Step is a column of the matrix.
+type Step string
+
+// Steps of the mechanisms.
+const (
+	RequestChoose       Step = "request: choose"
+	RequestDial         Step = "request: dial"
+	RequestWriteHeaders Step = "request: write headers"
+	RequestWriteBody    Step = "request: write body"
+	RequestWait         Step = "request: wait"
+	RequestReadHeaders  Step = "request: read headers"
+	RequestReadBody     Step = "request: read body"
+	RequestReuse        Step = "request: reuse"
+
+	ConfigAccept      Step = "configuration: accept"
+	ConfigStore       Step = "configuration: store"
+	ConfigAnnounce    Step = "configuration: announce"
+	ConfigFetch       Step = "configuration: fetch"
+	ConfigApply       Step = "configuration: apply"
+	ConfigAcknowledge Step = "configuration: acknowledge"
+
+	LeaseAcquire Step = "lease: acquire"
+	LeaseRenew   Step = "lease: renew"
+	LeaseAct     Step = "lease: act"
+	LeaseLose    Step = "lease: lose"
+
+	MovePlan     Step = "move: plan"
+	MoveStep     Step = "move: step"
+	MoveObserve  Step = "move: observe"
+	MoveJudge    Step = "move: judge"
+	MoveCommit   Step = "move: commit"
+	MoveRollBack Step = "move: roll back"
+
+	StopAnnounce Step = "stop: announce"
+	StopDrain    Step = "stop: drain"
+	StopClose    Step = "stop: close"
+)
+
+// Faults returns all rows in the order of the page.
+func Faults() []Fault {
+	return []Fault{
+		TargetSlow, TargetFailing, TargetDraining, TargetCold, TargetCutOff, AnswerLateOrCrossed, ConnectionClosed,
+		NodeKilled, NodePaused, NodeRestarted, NodeCutFromPlatform, NodeCutFromPeers,
+		PlatformDown, PlatformSlow, PlatformRefusing, AnswerLost, WatchBroken, WatchForgotten, VMListStale,
+		OperatorsRace, DataCentreLost, RegionsParted, ClockOff,
+	}
+}
+
+// Steps returns all columns in the order of the page.
+func Steps() []Step {
+	return []Step{
+		RequestChoose, RequestDial, RequestWriteHeaders, RequestWriteBody, RequestWait, RequestReadHeaders, RequestReadBody, RequestReuse,
+		ConfigAccept, ConfigStore, ConfigAnnounce, ConfigFetch, ConfigApply, ConfigAcknowledge,
+		LeaseAcquire, LeaseRenew, LeaseAct, LeaseLose,
+		MovePlan, MoveStep, MoveObserve, MoveJudge, MoveCommit, MoveRollBack,
+		StopAnnounce, StopDrain, StopClose,
+	}
+}
--- a/pkg/balance/choose_test.go
+++ b/pkg/balance/choose_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/fireflychute/fireflychute/internal/faultmatrix"
 )
 
 func fleetOf(n int) []Candidate {
@@ -41,6 +43,7 @@
 // Guards against a target attracting traffic by an idle report while it answers
 // slowly or its failures are counted as slow responses.
 func TestChooseAvoidsIdleLookingSlowTarget(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.TargetSlow, faultmatrix.RequestChoose)
 	g := NewWithT(t)
 	candidates := fleetOf(10)
 	candidates[4].Reported, candidates[4].LatencyMicros = 0, 50_000
@@ -49,6 +52,7 @@
 
 // Guards against a target that fails fast taking all work while the others are full.
 func TestChooseNeverTakesFailingTargetUnderLoad(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.TargetFailing, faultmatrix.RequestChoose)
 	g := NewWithT(t)
 	candidates := fleetOf(3)
 	candidates[1].LatencyMicros = 600_000
--- a/pkg/judge/judge_test.go
+++ b/pkg/judge/judge_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/fireflychute/fireflychute/internal/faultmatrix"
 	"github.com/fireflychute/fireflychute/pkg/outcome"
 )
 
@@ -44,6 +45,8 @@
 
 // Guards against each kind of bad version going unseen, or being seen only long after it became bad.
 func TestBadVersionsAreSeen(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.TargetFailing, faultmatrix.MoveJudge)
+	faultmatrix.Proves(t, faultmatrix.TargetSlow, faultmatrix.MoveJudge)
 	cases := []struct {
 		name   string
 		from   int
--- a/pkg/lease/machine_test.go
+++ b/pkg/lease/machine_test.go
@@ -7,12 +7,14 @@
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
+	"github.com/fireflychute/fireflychute/internal/faultmatrix"
 	"github.com/fireflychute/fireflychute/pkg/api"
 )
 
 // Guards against a holder that loses its lease for lack of an answer, and against
 // one that takes another process's record of the same name for its own.
 func TestLostAnswerIsRecognisedByOperation(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.AnswerLost, faultmatrix.LeaseAcquire)
 	g := NewWithT(t)
 	now := time.Now()
 	m := New("controller", "a", duration)
@@ -40,6 +42,7 @@
 // against one that keeps its epoch after another node held the lease, and against
 // candidates that write without reading whether the holder renewed.
 func TestPausedHolderNoLongerHolds(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.NodePaused, faultmatrix.LeaseRenew, faultmatrix.LeaseLose)
 	g := NewWithT(t)
 	now := time.Now()
 	m := New("controller", "a", duration)
--- a/pkg/lease/model_test.go
+++ b/pkg/lease/model_test.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
+	"github.com/fireflychute/fireflychute/internal/faultmatrix"
 	"github.com/fireflychute/fireflychute/pkg/api"
 )
 
@@ -143,6 +144,11 @@
 // restart, answers are lost or late, writes take effect late and the platform is
 // down; and against a lease that nobody acquires after that.
 func TestAtMostOneHolder(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.NodePaused, faultmatrix.LeaseAcquire, faultmatrix.LeaseRenew, faultmatrix.LeaseLose)
+	faultmatrix.Proves(t, faultmatrix.NodeRestarted, faultmatrix.LeaseAcquire, faultmatrix.LeaseRenew, faultmatrix.LeaseLose)
+	faultmatrix.Proves(t, faultmatrix.PlatformDown, faultmatrix.LeaseAcquire, faultmatrix.LeaseRenew, faultmatrix.LeaseLose)
+	faultmatrix.Proves(t, faultmatrix.PlatformSlow, faultmatrix.LeaseAcquire, faultmatrix.LeaseRenew, faultmatrix.LeaseLose)
+	faultmatrix.Proves(t, faultmatrix.AnswerLost, faultmatrix.LeaseAcquire, faultmatrix.LeaseRenew, faultmatrix.LeaseLose)
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld()
 		w.run(t, time.Second)
--- a/pkg/operator/commit_test.go
+++ b/pkg/operator/commit_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/fireflychute/fireflychute/internal/faultmatrix"
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/operator"
 	"github.com/fireflychute/fireflychute/pkg/operator/operatortest"
@@ -23,6 +24,9 @@
 // when any one call of the platform fails in any way, and against a repeated
 // request that is not recognised.
 func TestFailureAtEveryCall(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.PlatformDown, faultmatrix.ConfigAccept, faultmatrix.ConfigStore)
+	faultmatrix.Proves(t, faultmatrix.PlatformRefusing, faultmatrix.ConfigAccept, faultmatrix.ConfigStore)
+	faultmatrix.Proves(t, faultmatrix.AnswerLost, faultmatrix.ConfigAccept, faultmatrix.ConfigStore)
 	steps := 0
 	probe := newFixture(t)
 	probe.store.OnCall = func(string) operatortest.Fault { steps++; return operatortest.None }
@@ -76,6 +80,7 @@
 
 // Guards against a lost answer that hides a success within the same request.
 func TestLostAnswerOfCommitIsRecognised(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.AnswerLost, faultmatrix.ConfigStore)
 	f := newFixture(t)
 	lost := 0
 	f.store.OnCall = func(step string) operatortest.Fault {
@@ -120,6 +125,7 @@
 // Guards against two operators that both believe to have won, and against a
 // conflict that does not tell the current revision.
 func TestRaceOnOneObject(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.OperatorsRace, faultmatrix.ConfigAccept, faultmatrix.ConfigStore)
 	f := newFixture(t)
 	var winner operator.ApplyResult
 	during(f, func() { winner = f.mustApply(operator.ApplyRequest{Objects: []api.Object{service("text", 8)}}) })
@@ -134,6 +140,7 @@
 // Guards against changes of different objects that refuse or overwrite each
 // other, and against a retry that skips the validation of the new whole set.
 func TestRaceOnDifferentObjects(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.OperatorsRace, faultmatrix.ConfigAccept, faultmatrix.ConfigStore)
 	f := newFixture(t)
 	during(f, func() { f.mustApply(operator.ApplyRequest{Objects: []api.Object{service("other", 8)}}) })
 	f.mustApply(operator.ApplyRequest{Objects: []api.Object{service("text", 9)}})
@@ -153,6 +160,7 @@
 
 // Guards against more or fewer than one winner among many operators.
 func TestOneWinnerPerRace(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.OperatorsRace, faultmatrix.ConfigStore)
 	const operators, rounds = 8, 20
 	f := newFixture(t)
 	_, revision := f.stored()
--- a/pkg/proxy/handler_test.go
+++ b/pkg/proxy/handler_test.go
@@ -17,12 +17,14 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/fireflychute/fireflychute/internal/faultmatrix"
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/target"
 )
 
 // Guards (P5) against an answer cut short at the target reaching the caller as complete.
 func TestShortAnswerEndsAsBroken(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.ConnectionClosed, faultmatrix.RequestReadBody)
 	g := NewWithT(t)
 	b := newBench(t, api.WorkKindSpec{}, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", "10")
@@ -41,6 +43,8 @@
 
 // Guards (P6) against not-run for a request that an earlier try may have run.
 func TestUnknownThenRefusedIsUnknown(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.ConnectionClosed, faultmatrix.RequestWait)
+	faultmatrix.Proves(t, faultmatrix.TargetDraining, faultmatrix.RequestReadHeaders)
 	g := NewWithT(t)
 	var runs atomic.Int32
 	once := func(w http.ResponseWriter, r *http.Request) {
@@ -59,6 +63,8 @@
 
 // Guards against a request that was not run failing while another target is free.
 func TestNotRunIsTriedElsewhere(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.TargetDraining, faultmatrix.RequestChoose, faultmatrix.RequestReadHeaders)
+	faultmatrix.Proves(t, faultmatrix.ConnectionClosed, faultmatrix.RequestDial)
 	g := NewWithT(t)
 	b := newBench(t, api.WorkKindSpec{}, refuseNotRun, func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.WriteString(w, r.Header.Get(HeaderRequestID))
@@ -81,6 +87,7 @@
 
 // Guards (P7) against a second execution of a non-idempotent request, GET included.
 func TestNonIdempotentRunsOnce(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.ConnectionClosed, faultmatrix.RequestWait)
 	g := NewWithT(t)
 	var runs atomic.Int32
 	count := func(w http.ResponseWriter, r *http.Request) {
@@ -99,6 +106,7 @@
 // Guards (P2) against more work for a target that broke a connection, before it
 // is known whether it restarted cold.
 func TestTargetThatBrokeIsHeld(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.TargetCold, faultmatrix.RequestChoose)
 	g := NewWithT(t)
 	var runs atomic.Int32
 	b := newBench(t, api.WorkKindSpec{}, func(w http.ResponseWriter, r *http.Request) {
@@ -132,6 +140,7 @@
 // Guards (P7) against running a request again under a used key, and against
 // sending when the key could not be recorded.
 func TestIdempotencyKey(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.PlatformDown, faultmatrix.RequestChoose)
 	g := NewWithT(t)
 	var runs atomic.Int32
 	b := newBench(t, api.WorkKindSpec{Deduplicate: true}, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
@@ -318,6 +327,7 @@
 
 // Guards against work going on at the target after the caller left.
 func TestCancellationReachesTarget(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.TargetSlow, faultmatrix.RequestWait)
 	entered, left := make(chan struct{}), make(chan struct{})
 	b := newBench(t, api.WorkKindSpec{Idempotent: true}, func(_ http.ResponseWriter, r *http.Request) {
 		close(entered)
@@ -337,6 +347,7 @@
 // Guards (P9) against a planned stop that cuts a request in flight, and against
 // kept connections that stay open.
 func TestPlannedStopCutsNothing(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.TargetSlow, faultmatrix.StopDrain, faultmatrix.StopClose)
 	g := NewWithT(t)
 	entered, proceed := make(chan struct{}, 1), make(chan struct{})
 	b := newBench(t, api.WorkKindSpec{}, func(w http.ResponseWriter, r *http.Request) {
--- a/pkg/ramp/ramp_test.go
+++ b/pkg/ramp/ramp_test.go
@@ -5,6 +5,8 @@
 
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	"github.com/fireflychute/fireflychute/internal/faultmatrix"
 )
 
 const limit = 12
@@ -62,6 +64,7 @@
 // Guards against missing that a target is cold again under the same incarnation,
 // and against taking low demand, slowness or a few slow requests alone for it.
 func TestColdAgain(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.TargetCold, faultmatrix.RequestChoose)
 	g := NewWithT(t)
 	r := New()
 	r.Set(limit)
--- a/pkg/target/properties_test.go
+++ b/pkg/target/properties_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/fireflychute/fireflychute/internal/faultmatrix"
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/share"
 )
@@ -85,6 +86,7 @@
 // P2. Guards against a cold target that gets more in flight from all nodes than its
 // capacity or than its ramp level, while facts arrive late and in any order.
 func TestP2ColdTargetStaysWithinLevel(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.TargetCold, faultmatrix.RequestChoose)
 	rapid.Check(t, func(t *rapid.T) {
 		nodes := fleetOf(rapid.IntRange(1, 19).Draw(t, "nodes"))
 		registries := []*Registry{}
@@ -209,6 +211,8 @@
 // P8. Guards against a leaving target that receives new work again without a new
 // incarnation, and against one that never returns.
 func TestP8LeavingTargetStaysOut(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.TargetDraining, faultmatrix.RequestChoose)
+	faultmatrix.Proves(t, faultmatrix.VMListStale, faultmatrix.RequestChoose)
 	rapid.Check(t, func(t *rapid.T) {
 		m := &leavingModel{r: NewRegistry("node-0"), incarnation: 1, version: 1, listed: api.VMStateLive}
 		m.r.ApplyList(start, listOf(1, api.VMStateLive))
--- a/pkg/target/registry_test.go
+++ b/pkg/target/registry_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/fireflychute/fireflychute/internal/faultmatrix"
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/share"
 )
@@ -80,6 +81,7 @@
 // Guards against a target that fails fast and so looks faster than the others, and
 // against one first failure that takes a target out for seconds.
 func TestFastFailuresCountAsSlow(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.TargetFailing, faultmatrix.RequestChoose)
 	g := NewWithT(t)
 	counters := &Counters{}
 	counters.Done(time.Millisecond, true, 20_000)
@@ -97,6 +99,7 @@
 // Guards against all nodes sending to a target that has just restarted, and against
 // broken connections that take a target out for long.
 func TestBrokenConnectionHolds(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.TargetCold, faultmatrix.RequestChoose)
 	g := NewWithT(t)
 	counters, second := &Counters{}, time.Second.Nanoseconds()
 	g.Expect(counters.Held(second)).To(BeFalse())
--- a/pkg/transport/client_test.go
+++ b/pkg/transport/client_test.go
@@ -10,6 +10,8 @@
 
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
+
+	"github.com/fireflychute/fireflychute/internal/faultmatrix"
 )
 
 // ends are the steps at which a target can end or stall an exchange. after is
@@ -45,6 +47,7 @@
 // Guards against a hidden second sending, a wrong step and a false not-run when
 // the target closes the connection at any step.
 func TestCloseAtEachStep(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.ConnectionClosed, faultmatrix.RequestWriteHeaders, faultmatrix.RequestWriteBody, faultmatrix.RequestWait, faultmatrix.RequestReadHeaders, faultmatrix.RequestReadBody)
 	for _, end := range ends {
 		t.Run(end.name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -68,6 +71,7 @@
 // Guards against reuse of a connection whose request was cancelled, and against
 // a false not-run, when the target stalls at any step.
 func TestCancelAtEachStep(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.TargetSlow, faultmatrix.RequestWriteHeaders, faultmatrix.RequestWriteBody, faultmatrix.RequestWait, faultmatrix.RequestReadHeaders, faultmatrix.RequestReadBody, faultmatrix.RequestReuse)
 	for _, end := range ends {
 		t.Run(end.name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -104,6 +108,7 @@
 // Guards against the Transport's own second sending on a reused connection,
 // which it does for GET, for an idempotency key and for requests without a body.
 func TestNoHiddenResendOnReusedConnection(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.ConnectionClosed, faultmatrix.RequestReuse)
 	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodDelete, http.MethodPost, http.MethodOptions} {
 		t.Run(method, func(t *testing.T) {
 			g := NewWithT(t)
@@ -131,6 +136,7 @@
 // Guards against a request reported as run, or sent twice, when the target
 // closed the connection while it was idle.
 func TestIdleConnectionClosedByTarget(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.ConnectionClosed, faultmatrix.RequestReuse)
 	g := NewWithT(t)
 	target := startRaw(t, func(target *rawTarget, c *rawConn, _ int) {
 		id, _ := target.head(c)
@@ -152,6 +158,7 @@
 // Guards against an answer that nobody asked for reaching the next caller: whole
 // or in parts, in one segment with the real answer or while the connection is idle.
 func TestUnaskedAnswerIsNeverSeen(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.AnswerLateOrCrossed, faultmatrix.RequestReadHeaders, faultmatrix.RequestReadBody, faultmatrix.RequestReuse)
 	unasked := map[string]func(c *rawConn, id string){
 		"same segment":   func(c *rawConn, id string) { c.say(answerTo(id) + answerTo("unasked")) },
 		"part of header": func(c *rawConn, id string) { c.say(answerTo(id) + answerTo("unasked")[:20]) },
@@ -192,6 +199,7 @@
 // Guards against an answer that names another request, which is how a late
 // answer on a busy connection shows.
 func TestAnswerOfAnotherRequest(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.AnswerLateOrCrossed, faultmatrix.RequestReadHeaders)
 	g := NewWithT(t)
 	target := startRaw(t, func(target *rawTarget, c *rawConn, _ int) {
 		target.head(c)
@@ -231,6 +239,7 @@
 
 // Guards against a refused connection being reported as run.
 func TestRefusedConnection(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.ConnectionClosed, faultmatrix.RequestDial)
 	g := NewWithT(t)
 	target := startRaw(t, func(*rawTarget, *rawConn, int) {})
 	g.Expect(target.listener.Close()).To(Succeed())
--- a/testbed/fleet/configuration_test.go
+++ b/testbed/fleet/configuration_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/fireflychute/fireflychute/internal/faultmatrix"
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/testbed/fleet"
 	"github.com/fireflychute/fireflychute/testbed/platform"
@@ -15,6 +16,10 @@
 // Guards against a change that some node does not apply within the time that the
 // users gave, whatever single fault happens around the change.
 func TestConfigurationIsInForceEverywhere(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.AnswerLost, faultmatrix.ConfigStore)
+	faultmatrix.Proves(t, faultmatrix.PlatformSlow, faultmatrix.ConfigAccept, faultmatrix.ConfigStore, faultmatrix.ConfigFetch)
+	faultmatrix.Proves(t, faultmatrix.NodeCutFromPlatform, faultmatrix.ConfigAnnounce, faultmatrix.ConfigFetch, faultmatrix.ConfigApply)
+	faultmatrix.Proves(t, faultmatrix.NodeKilled, faultmatrix.ConfigAnnounce, faultmatrix.ConfigFetch, faultmatrix.ConfigApply)
 	faults := map[string]func(f *fleet.Fleet){
 		"no fault":                 func(*fleet.Fleet) {},
 		"answer of a write lost":   func(f *fleet.Fleet) { f.Platform.SetFaults(platform.Faults{LoseAnswers: 2}) },
@@ -57,6 +62,9 @@
 // Guards against a node that goes back to an older configuration, through
 // outages, cut networks, restarts and lost answers.
 func TestConfigurationNeverReverts(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.RegionsParted, faultmatrix.ConfigFetch, faultmatrix.ConfigApply)
+	faultmatrix.Proves(t, faultmatrix.NodeRestarted, faultmatrix.ConfigFetch, faultmatrix.ConfigApply)
+	faultmatrix.Proves(t, faultmatrix.PlatformDown, faultmatrix.ConfigFetch)
 	inFleet(t, 7, func(g *WithT, f *fleet.Fleet) {
 		seen := make([]uint64, len(f.Nodes))
 		check := func() {
@@ -96,6 +104,7 @@
 
 // Guards against two operators who both believe that they won a race.
 func TestOneOperatorWinsARace(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.OperatorsRace, faultmatrix.ConfigStore)
 	inFleet(t, 3, func(g *WithT, f *fleet.Fleet) {
 		base := f.Nodes[0].Revision()
 		codes := make(chan int, 2)
@@ -114,6 +123,7 @@
 // Guards against a node that serves with an old or no configuration when it
 // starts while the platform is down.
 func TestNodeStartedInOutageLearnsFromPeers(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.PlatformDown, faultmatrix.ConfigAccept, faultmatrix.ConfigFetch)
 	inFleet(t, 5, func(g *WithT, f *fleet.Fleet) {
 		f.Platform.SetFaults(platform.Faults{Down: true})
 		revision := f.Nodes[0].Revision()
@@ -142,6 +152,8 @@
 // Guards against a cut off node that takes new work on an old configuration, and
 // against a platform outage that stops the whole fleet.
 func TestIsolatedNodeRefusesButOutageDoesNot(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.PlatformDown, faultmatrix.RequestChoose)
+	faultmatrix.Proves(t, faultmatrix.NodeCutFromPeers, faultmatrix.RequestChoose)
 	inFleet(t, 5, func(g *WithT, f *fleet.Fleet) {
 		f.Platform.SetFaults(platform.Faults{Down: true})
 		time.Sleep(time.Minute)
@@ -183,6 +195,7 @@
 // Guards against a change that is applied twice, or reported as another
 // operator's, when the answers of its writes were lost.
 func TestLostAnswerIsRecognised(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.AnswerLost, faultmatrix.ConfigStore)
 	for lost := 1; lost <= 5; lost++ {
 		inFleet(t, 3, func(g *WithT, f *fleet.Fleet) {
 			f.Platform.SetFaults(platform.Faults{LoseAnswers: lost})
--- a/testbed/fleet/moves_test.go
+++ b/testbed/fleet/moves_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/fireflychute/fireflychute/internal/faultmatrix"
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/operator"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
@@ -51,6 +52,9 @@
 // Guards against a sum of the nodes' units that is above a target's limit, while
 // nodes start, are killed and are parted from each other.
 func TestUnitsOfAllNodesStayWithinTheLimit(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.NodeKilled, faultmatrix.RequestChoose)
+	faultmatrix.Proves(t, faultmatrix.NodeRestarted, faultmatrix.RequestChoose)
+	faultmatrix.Proves(t, faultmatrix.RegionsParted, faultmatrix.RequestChoose)
 	inFleet(t, 7, func(g *WithT, f *fleet.Fleet) {
 		warmUp(f)
 		any := func(*snapshot.Target) bool { return true }
@@ -162,6 +166,8 @@
 // it already has a share, the platform is down, and a node that missed the verdict
 // joins later.
 func TestBadVersionIsBlockedWithoutThePlatform(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.PlatformDown, faultmatrix.MoveJudge, faultmatrix.MoveRollBack)
+	faultmatrix.Proves(t, faultmatrix.TargetFailing, faultmatrix.MoveJudge, faultmatrix.MoveRollBack)
 	inFleet(t, 5, func(g *WithT, f *fleet.Fleet) {
 		code, _ := f.Nodes[0].Apply(rollout(time.Now().Add(4 * time.Minute)))
 		g.Expect(code).To(Equal(200))
@@ -195,6 +201,8 @@
 // Guards against new work for a leaving target (P8) at nodes that did not see it
 // leave themselves.
 func TestLeavingTargetReceivesNothing(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.TargetDraining, faultmatrix.RequestChoose)
+	faultmatrix.Proves(t, faultmatrix.VMListStale, faultmatrix.RequestChoose)
 	inFleet(t, 7, func(g *WithT, f *fleet.Fleet) {
 		leaving := targetsOf(f.Nodes[0])[0]
 		same := func(target *snapshot.Target) bool { return target.Address == leaving.Address }
--- a/testbed/fleet/watch_test.go
+++ b/testbed/fleet/watch_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/fireflychute/fireflychute/internal/faultmatrix"
 	"github.com/fireflychute/fireflychute/testbed/fleet"
 )
 
@@ -13,6 +14,7 @@
 // forgotten: every later change would then wait for the readers of last resort,
 // which read every 15 s.
 func TestWatchResumesAfterForgottenVersion(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.WatchForgotten, faultmatrix.ConfigAnnounce, faultmatrix.ConfigFetch)
 	inFleet(t, 7, func(g *WithT, f *fleet.Fleet) {
 		time.Sleep(20 * time.Second) // the leases are held by now
 		for _, node := range f.Nodes {
