--- a/testbed/fleet/fixture_test.go
+++ b/testbed/fleet/fixture_test.go
@@ -27,9 +27,15 @@
 
 // inFleet runs a test under fake time with a started fleet.
 func inFleet(t *testing.T, nodes int, test func(g *WithT, f *fleet.Fleet)) {
+	inFleetWith(t, nodes, func(*fleet.Fleet) {}, test)
+}
+
+// inFleetWith also prepares the fleet before its nodes start.
+func inFleetWith(t *testing.T, nodes int, prepare func(f *fleet.Fleet), test func(g *WithT, f *fleet.Fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := fleet.New()
+		prepare(f)
 		f.Start(nodes)
 		f.ListVMs(append(fleet.Targets(service, "v1", 0, 12), fleet.Targets(service, newTest, 100, 6)...))
 		defer f.StopAll()
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -34,6 +34,10 @@
 	starts   uint64
 	// Log receives the nodes' log lines; nothing by default.
 	Log zerolog.Logger
+	// OnCall sees each call of a node on the platform before it is sent and after
+	// it was answered, on the goroutine of the call; may be nil. It is set before
+	// nodes start.
+	OnCall func(Call)
 }
 
 // Node is one node of the fleet.
@@ -46,6 +50,7 @@
 	Published  *atomic.Pointer[snapshot.Snapshot]
 	// CutOff tells that the node does not reach the platform.
 	CutOff   atomic.Bool
+	gate     gate
 	operator *operator.Server
 	cancel   context.CancelFunc
 	stopped  chan struct{}
@@ -94,14 +99,15 @@
 	f.starts++
 	node.Published = &atomic.Pointer[snapshot.Snapshot]{}
 	node.stopped = make(chan struct{})
-	store := platform.Direct{Server: f.Platform, Reachable: func() bool { return !node.CutOff.Load() }}
+	direct := platform.Direct{Server: f.Platform, Reachable: func() bool { return !node.CutOff.Load() }}
+	store := link{Store: direct, node: node, hook: f.OnCall}
 	node.Controller = control.New(control.Options{
 		Self: membership.Member{
 			Name: node.Name, Address: node.Address, DataCentre: node.DataCentre, Incarnation: f.starts,
 		},
 		Seeds:     f.seeds,
 		Store:     store,
-		Peers:     &port{network: f.network, name: node.Name, address: node.Address},
+		Peers:     &port{network: f.network, gate: &node.gate, name: node.Name, address: node.Address},
 		Published: node.Published,
 		Probe:     noProbe{},
 		Random:    rand.New(rand.NewPCG(f.starts, 1)),
@@ -135,12 +141,24 @@
 	node.CutOff.Store(false)
 }
 
+// Pause stops a node at its next message or call, in the middle of what it does.
+// It goes on from there with Resume, and may use a time that it read before.
+func (f *Fleet) Pause(node *Node) {
+	node.gate.close()
+}
+
+// Resume ends a pause.
+func (f *Fleet) Resume(node *Node) {
+	node.gate.open()
+}
+
 // settleTime is longer than any call that a node leaves behind.
 const settleTime = 30 * time.Second
 
 // StopAll stops all nodes and waits for their calls to end.
 func (f *Fleet) StopAll() {
 	for _, node := range f.Nodes {
+		node.gate.open()
 		node.cancel()
 	}
 	for _, node := range f.Nodes {
--- a/testbed/fleet/network.go
+++ b/testbed/fleet/network.go
@@ -61,12 +61,14 @@
 // port is one node's access to the network.
 type port struct {
 	network *network
+	gate    *gate
 	name    string
 	address string
 }
 
 // Send implements control.Peers.
 func (p *port) Send(to string, m message.Message) {
+	p.gate.pass()
 	copied, size := p.seal(m)
 	go func() {
 		time.Sleep(delay)
@@ -79,6 +81,7 @@
 
 // Call implements control.Peers.
 func (p *port) Call(ctx context.Context, to string, m message.Message) (message.Message, error) {
+	p.gate.pass()
 	copied, size := p.seal(m)
 	time.Sleep(delay)
 	receiver := p.network.route(p.address, to, size)
@@ -86,7 +89,7 @@
 		<-ctx.Done()
 		return message.Message{}, errCut
 	}
-	answer := receiver.Deliver(p.name, copied)
+	answer := deliver(ctx, receiver, p.name, copied)
 	time.Sleep(delay)
 	if answer == nil || p.network.route(to, p.address, answer.Msgsize()) == nil {
 		<-ctx.Done()
@@ -95,6 +98,18 @@
 	return *answer, nil
 }
 
+// deliver returns nil when ctx ends first, as when the receiver is paused.
+func deliver(ctx context.Context, receiver *control.Controller, from string, m message.Message) *message.Message {
+	answered := make(chan *message.Message, 1)
+	go func() { answered <- receiver.Deliver(from, m) }()
+	select {
+	case answer := <-answered:
+		return answer
+	case <-ctx.Done():
+		return nil
+	}
+}
+
 // seal encodes and decodes a message and returns its size in bytes.
 func (p *port) seal(m message.Message) (message.Message, int) {
 	m.From = p.name
--- a/testbed/platform/direct.go
+++ b/testbed/platform/direct.go
@@ -67,6 +67,9 @@
 	d.Server.countWatch()
 	deadline := time.After(directWait)
 	for {
+		if d.Server.gate.watchesBroken() {
+			return nil, after, client.ErrUnavailable
+		}
 		events, version, changed, err := d.Server.store.since(kind, after)
 		if err != nil || len(events) > 0 {
 			return events, version, translate(err)
--- a/testbed/platform/faults.go
+++ b/testbed/platform/faults.go
@@ -13,6 +13,10 @@
 	DelayMs int `json:"delayMs"`
 	// LoseAnswers drops the connection after this many further writes took effect.
 	LoseAnswers int `json:"loseAnswers"`
+	// WatchesBroken fails each watch of objects at once, and no other call.
+	WatchesBroken bool `json:"watchesBroken"`
+	// RefuseByRate refuses every call with 429.
+	RefuseByRate bool `json:"refuseByRate"`
 	// VMListLagMs delays changes of the VM list by this many milliseconds.
 	VMListLagMs int `json:"vmListLagMs"`
 }
@@ -74,7 +78,7 @@
 	if v.down {
 		return v
 	}
-	if !bucket.allow(now) {
+	if g.faults.RefuseByRate || !bucket.allow(now) {
 		g.counts.RateLimited++
 		v.limited = true
 		return v
@@ -86,6 +90,12 @@
 	return v
 }
 
+func (g *gate) watchesBroken() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.faults.Down || g.faults.WatchesBroken
+}
+
 func (g *gate) isDown() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/testbed/platform/server.go
+++ b/testbed/platform/server.go
@@ -6,12 +6,15 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
+	"sort"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
+	client "github.com/fireflychute/fireflychute/pkg/platform"
 )
 
 // Default rates of the platform, in calls per second.
@@ -77,6 +80,14 @@
 	s.store.forget(len(s.store.history))
 }
 
+// History returns the events since a version that are still kept.
+func (s *Server) History(after uint64) []client.Event {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	first := sort.Search(len(s.store.history), func(i int) bool { return s.store.history[i].Object.Version > after })
+	return slices.Clone(s.store.history[first:])
+}
+
 // SetVMs replaces the VM list after the lag that the faults declare.
 func (s *Server) SetVMs(vms []api.VM) {
 	s.gate.mu.Lock()
@@ -159,6 +170,9 @@
 	deadline := time.After(wait)
 	kind := r.URL.Query().Get("kind")
 	for {
+		if s.gate.watchesBroken() {
+			panic(http.ErrAbortHandler)
+		}
 		events, version, changed, err := s.store.since(kind, after)
 		if err != nil || len(events) > 0 {
 			answer(w, map[string]any{"version": version, "events": events}, err)
@@ -172,9 +186,6 @@
 		case <-r.Context().Done():
 			return
 		}
-		if s.gate.isDown() {
-			panic(http.ErrAbortHandler)
-		}
 	}
 }
 
