Ask peers again for a change that the platform does not give

Cause: a node that heard of a change and could not fetch it in its first three attempts asked only the platform from then on. A node that reached neither its peers nor the platform for a few seconds right after the announcement, and then its peers alone, stayed behind until the next change.

The platform and peers are now asked in turns after the first attempts, for the configuration and for the list of VMs.

Ruled out: starting over with three peers when the platform fails, which would triple the time until a reachable platform is asked again.

Before: TestNodeFetchesFromPeersAfterItReachedNobody fails with a cut 4 ms after the change: not in force within 16 s after the peers respond again. After: it passes for all 14 moments of the cut.

--- a/pkg/control/sync.go
+++ b/pkg/control/sync.go
@@ -18,7 +18,7 @@
 const (
 	// fetchRetryTime is the pause between two attempts to fetch from peers.
 	fetchRetryTime = 300 * time.Millisecond
-	// peerAttempts is how many peers are asked before the platform.
+	// peerAttempts is how many peers are asked before the platform is asked.
 	peerAttempts = 3
 	// fallbackTime is how often the fallback readers read the platform.
 	fallbackTime = 15 * time.Second
@@ -62,6 +62,13 @@
 	return true
 }
 
+// asksPlatform tells whether the present attempt goes to the platform. After the
+// first attempts the platform and peers are asked in turns, because either may
+// remain out of reach while the other responds again.
+func (d *document) asksPlatform() bool {
+	return d.attempts > peerAttempts && (d.attempts-peerAttempts)%2 == 1
+}
+
 // syncState is how far the node is with what others announced.
 type syncState struct {
 	config    document
@@ -191,7 +198,7 @@
 // peerFor returns the address of a node to fetch from, or "" for the platform.
 // A random node that has the revision spreads the load of a change over all.
 func (c *Controller) peerFor(d document) string {
-	if d.attempts > peerAttempts {
+	if d.asksPlatform() {
 		return ""
 	}
 	if d.attempts > 1 {
--- a/pkg/control/vms.go
+++ b/pkg/control/vms.go
@@ -41,7 +41,7 @@
 	if c.sync.vms.attempts > 1 {
 		peer = c.randomPeer(0)
 	}
-	if peer == "" || peer == c.options.Self.Address || c.sync.vms.attempts > peerAttempts {
+	if peer == "" || peer == c.options.Self.Address || c.sync.vms.asksPlatform() {
 		c.loadVMs()
 		return
 	}
--- a/testbed/fleet/watch_test.go
+++ b/testbed/fleet/watch_test.go
@@ -38,6 +38,32 @@
 	})
 }
 
+// Guards against a node that was announced a change, could not fetch it while it
+// reached nobody, and then asks only the platform, which it still does not reach.
+func TestNodeFetchesFromPeersAfterItReachedNobody(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.NodeCutFromPeers, faultmatrix.ConfigFetch)
+	for _, ms := range []time.Duration{0, 2, 4, 6, 8, 10, 12, 16, 24, 32, 50, 100, 200, 300} {
+		inFleet(t, 6, func(g *WithT, f *fleet.Fleet) {
+			time.Sleep(20 * time.Second)
+			s := &scene{f: f, g: g, seen: map[*fleet.Node]uint64{}}
+			s.victim = f.Nodes[2]
+			for _, node := range f.Nodes[2:] {
+				if !node.Controller.Watching() {
+					s.victim = node
+				}
+			}
+			s.victim.CutOff.Store(true)
+			code, result := f.Nodes[0].Apply(workKind(700))
+			g.Expect(code).To(Equal(200))
+			time.Sleep(ms * time.Millisecond)
+			s.cut(func(node *fleet.Node) bool { return node == s.victim })
+			time.Sleep(time.Minute)
+			s.heal()
+			g.Expect(fleet.WaitUntil(inForceLimit, func() bool { s.check(); return allAt(f, result.Revision) })).To(BeTrue(), "cut after %d ms", ms)
+		})
+	}
+}
+
 // watchLimit is the time of a change through a working watch: the watch answers
 // at once and peers fetch after one or two gossip rounds.
 const watchLimit = 3 * time.Second
