Test parted regions, a lost data centre, racing moves and refused calls

Cause: none of these had a test over the control goroutines of a fleet.

Three operators take out a data centre each: two win. With 5 calls a second the platform still serves 7 nodes.

Ruled out: serving changes at 1 or 2 writes a second, because one change takes three writes at once and such a platform refuses the third.

--- /dev/null
+++ b/testbed/fleet/regions_test.go
@@ -0,0 +1,225 @@
+package fleet_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fireflychute/fireflychute/internal/faultmatrix"
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/operator"
+	"github.com/fireflychute/fireflychute/pkg/snapshot"
+	"github.com/fireflychute/fireflychute/testbed/fleet"
+	stand "github.com/fireflychute/fireflychute/testbed/platform"
+)
+
+// Guards against a region that stays behind for good, or goes back, after it was
+// parted for 3 minutes from the region that had the platform: parted at any moment
+// of a change, and joined again while only the other region reaches the platform.
+func TestRegionsPartedAndJoinedAgain(t *testing.T) {
+	const parted = 3 * time.Minute
+	for _, after := range []time.Duration{0, 5, 10, 20, 40, 80, 160, 320, 640, 1280} {
+		t.Run(fmt.Sprintf("parted %d ms after the change", after), func(t *testing.T) {
+			t.Parallel()
+			faultmatrix.Proves(t, faultmatrix.RegionsParted, faultmatrix.ConfigAnnounce, faultmatrix.ConfigFetch, faultmatrix.ConfigApply)
+			inFleet(t, 6, func(g *WithT, f *fleet.Fleet) {
+				time.Sleep(20 * time.Second)
+				warmUp(f)
+				far := func(node *fleet.Node) bool { return node.DataCentre == "south" }
+				s := &scene{f: f, g: g, seen: map[*fleet.Node]uint64{}}
+				within := func() { g.Expect(unitsPerTarget(f, every)).To(HaveEach(BeNumerically("<=", 12)), "limit exceeded") }
+				watch := func(d time.Duration) {
+					for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+						s.check()
+						within()
+					}
+				}
+				code, first := f.Nodes[0].Apply(workKind(700))
+				g.Expect(code).To(Equal(200))
+				time.Sleep(after * time.Millisecond)
+				s.cut(far)
+				for _, node := range f.Nodes {
+					node.CutOff.Store(far(node))
+				}
+				watch(parted / 2)
+				code, second := f.Nodes[1].Apply(moveDataCentre("middle", api.DataCentreStateOut))
+				g.Expect(code).To(Equal(200))
+				g.Expect(second.Revision).To(BeNumerically(">", first.Revision))
+				watch(parted / 2)
+				s.heal()
+				inForce := func() bool { s.check(); within(); return allAt(f, second.Revision) }
+				g.Expect(fleet.WaitUntil(inForceLimit, inForce)).To(BeTrue(), "the region without the platform stays behind")
+				inMiddle := func(target *snapshot.Target) bool { return target.DataCentre == "middle" }
+				g.Expect(anyTarget(f, inMiddle)).To(BeFalse())
+			})
+		})
+	}
+}
+
+func every(*snapshot.Target) bool { return true }
+
+// Guards against a platform that answers only a few calls a second keeping a change
+// from being in force. One change takes three writes at once, so a platform with
+// fewer writes a second refuses each.
+func TestPlatformWithLowRates(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.PlatformRefusing, faultmatrix.ConfigAccept, faultmatrix.ConfigStore, faultmatrix.ConfigAnnounce, faultmatrix.ConfigFetch)
+	for _, rate := range []float64{5, 10, 20} {
+		inFleet(t, 7, func(g *WithT, f *fleet.Fleet) {
+			time.Sleep(20 * time.Second)
+			f.Platform.SetRates(rate, rate)
+			time.Sleep(time.Minute)
+			g.Expect(allReady(f)).To(BeTrue())
+			request := workKind(700)
+			request.Operation = "at-low-rates"
+			var result operator.ApplyResult
+			accepted := func() bool {
+				code, answer := f.Nodes[0].Apply(request)
+				result = answer
+				time.Sleep(2 * time.Second)
+				return code == 200
+			}
+			g.Expect(fleet.WaitUntil(2*time.Minute, accepted)).To(BeTrue(), "rate %v", rate)
+			g.Expect(fleet.WaitUntil(inForceLimit, func() bool { return allAt(f, result.Revision) })).To(BeTrue(), "rate %v", rate)
+		})
+	}
+}
+
+// Guards against calls of a fleet that is refused growing with its size, which
+// would keep a platform that refuses by rate from recovering, and against leases
+// that nobody acquires afterwards.
+func TestRefusedCallsDoNotGrowWithTheFleet(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.PlatformRefusing, faultmatrix.LeaseAcquire, faultmatrix.LeaseRenew, faultmatrix.LeaseLose)
+	faultmatrix.Proves(t, faultmatrix.PlatformRefusing, faultmatrix.RequestChoose)
+	calls := func(nodes int) (count uint64) {
+		inFleet(t, nodes, func(g *WithT, f *fleet.Fleet) {
+			time.Sleep(20 * time.Second)
+			f.Platform.SetFaults(stand.Faults{RefuseByRate: true})
+			time.Sleep(faultTime)
+			for _, node := range f.Nodes {
+				g.Expect(node.Controller.Watching()).To(BeFalse(), "a lease outlives its time")
+			}
+			before := f.Platform.Counts()
+			time.Sleep(time.Minute)
+			after := f.Platform.Counts()
+			count = after.Reads + after.Writes - before.Reads - before.Writes
+			g.Expect(allReady(f)).To(BeTrue())
+			f.Platform.SetFaults(stand.Faults{})
+			time.Sleep(leaseLimit)
+			code, result := f.Nodes[0].Apply(workKind(700))
+			g.Expect(code).To(Equal(200))
+			g.Expect(fleet.WaitUntil(watchLimit, func() bool { return allAt(f, result.Revision) })).To(BeTrue(), "nobody watches")
+		})
+		return count
+	}
+	small, large := calls(5), calls(19)
+	t.Logf("calls in a minute of refusals with 5 and 19 nodes: %d, %d", small, large)
+	NewWithT(t).Expect(float64(large)).To(BeNumerically("<", 1.5*float64(small)))
+}
+
+// Guards against all data centres being taken out by operators who race, each of
+// whom leaves enough capacity by what it read.
+func TestOperatorsRaceWithDataCentreMoves(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.OperatorsRace, faultmatrix.MovePlan, faultmatrix.MoveCommit, faultmatrix.ConfigAccept)
+	for delay := range 4 {
+		inFleet(t, 6, func(g *WithT, f *fleet.Fleet) {
+			f.Platform.SetFaults(stand.Faults{DelayMs: delay * 20})
+			codes := make(chan int, len(fleet.DataCentres))
+			for i, name := range fleet.DataCentres {
+				go func() {
+					time.Sleep(time.Duration(i*delay) * time.Millisecond)
+					code, _ := f.Nodes[i].Apply(moveDataCentre(name, api.DataCentreStateOut))
+					codes <- code
+				}()
+			}
+			accepted, refused := 0, 0
+			for range fleet.DataCentres {
+				if code := <-codes; code == 200 {
+					accepted++
+				} else {
+					g.Expect(code).To(BeElementOf(409, 422))
+					refused++
+				}
+			}
+			g.Expect(accepted).To(Equal(2), "refused %d", refused)
+			f.Platform.SetFaults(stand.Faults{})
+			time.Sleep(inForceLimit)
+			g.Expect(anyTarget(f, every)).To(BeTrue(), "nowhere to run")
+
+			// Out and in of the same data centre: the one that won is in force everywhere.
+			base := f.Nodes[0].Revision()
+			results := make(chan operator.ApplyResult, 2)
+			states := []api.DataCentreState{api.DataCentreStateIn, api.DataCentreStateOut}
+			for i, state := range states {
+				request := moveDataCentre("south", state)
+				request.IfRevision = &base
+				go func() {
+					code, result := f.Nodes[i].Apply(request)
+					if code != 200 {
+						result.Revision = 0
+					}
+					results <- result
+				}()
+			}
+			revisions := []uint64{(<-results).Revision, (<-results).Revision}
+			newest := slices.Max(revisions)
+			g.Expect(fleet.WaitUntil(inForceLimit, func() bool { return allAt(f, newest) })).To(BeTrue())
+			time.Sleep(leaveLimit)
+			first := southUsed(f.Nodes[0])
+			for _, node := range f.Nodes {
+				g.Expect(southUsed(node)).To(Equal(first), "nodes disagree")
+			}
+		})
+	}
+}
+
+func southUsed(node *fleet.Node) bool {
+	return slices.ContainsFunc(targetsOf(node), func(target *snapshot.Target) bool { return target.DataCentre == "south" })
+}
+
+// Guards against new work for the targets of a data centre that is lost, nodes and
+// controller included, a few seconds after the first refused connections (P8), and
+// against the rest of the fleet no longer taking changes.
+func TestDataCentreLost(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.DataCentreLost, faultmatrix.RequestChoose, faultmatrix.ConfigAccept, faultmatrix.ConfigStore,
+		faultmatrix.ConfigAnnounce, faultmatrix.ConfigFetch, faultmatrix.ConfigApply, faultmatrix.LeaseAcquire)
+	for _, lost := range fleet.DataCentres {
+		inFleet(t, 9, func(g *WithT, f *fleet.Fleet) {
+			warmUp(f)
+			rest := []*fleet.Node{}
+			for _, node := range f.Nodes {
+				if node.DataCentre == lost {
+					f.Kill(node)
+				} else {
+					rest = append(rest, node)
+				}
+			}
+			f.Nodes = rest
+			gone := func(target *snapshot.Target) bool { return target.DataCentre == lost }
+			noWork := func() bool {
+				for _, node := range f.Nodes {
+					for _, target := range targetsOf(node) {
+						if gone(target) && target.Units > 0 {
+							target.Counters.Refused.Add(1)
+						}
+					}
+				}
+				return !anyTarget(f, gone)
+			}
+			g.Expect(fleet.WaitUntil(leaveLimit, noWork)).To(BeTrue(), "work for lost targets")
+			code, result := f.Nodes[0].Apply(workKind(700))
+			g.Expect(code).To(Equal(200))
+			g.Expect(fleet.WaitUntil(inForceLimit+leaseLimit, func() bool { return allAt(f, result.Revision) })).To(BeTrue())
+			time.Sleep(leaseLimit)
+			code, result = f.Nodes[0].Apply(workKind(701))
+			g.Expect(code).To(Equal(200))
+			g.Expect(fleet.WaitUntil(inForceLimit, func() bool { return allAt(f, result.Revision) })).To(BeTrue())
+			g.Expect(holder(f)).NotTo(BeNil(), "the lost controller has no successor")
+		})
+	}
+}
+
+// leaseLimit is enough for a lost holder's lease to lapse and be taken.
+const leaseLimit = 20 * time.Second
--- a/testbed/platform/server.go
+++ b/testbed/platform/server.go
@@ -65,6 +65,14 @@
 	s.gate.faults = faults
 }
 
+// SetRates replaces the rates, in calls per second. Rates below 1 refuse every call.
+func (s *Server) SetRates(readRate, writeRate float64) {
+	s.gate.mu.Lock()
+	defer s.gate.mu.Unlock()
+	s.gate.reads.rate = readRate
+	s.gate.writes.rate = writeRate
+}
+
 // Counts returns how often the platform was called.
 func (s *Server) Counts() Counts {
 	s.gate.mu.Lock()
