Add make faults: faults over separate processes with real signals

Cause: all fault tests ran within one process, so nothing showed what real signals, sockets and process ends do to the binaries.

Without FAULTS_BIN the tests are skipped.

Ruled out: asserting latencies or rates, which depend on the machine.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MODULES := ./... ./testbed/...
 TOOL := go tool -modfile=$(CURDIR)/tools/go.mod
 
-.PHONY: build bench demo test race faults-page format lint generate generated bench-rollouts
+.PHONY: build bench demo test race faults faults-page format lint generate generated bench-rollouts
 
 build:
 	go build -o bin/ ./cmd/... ./testbed/cmd/...
@@ -23,10 +23,14 @@
 race:
 	go test -race $(MODULES)
 
+# Faults over separate processes with real signals, on loopback ports from 23000.
+faults: build
+	FAULTS_BIN=$(CURDIR)/bin go test -count=1 -timeout 5m -v ./testbed/processes
+
 # Renders docs/FAULTS.md from a run of all tests; a failed test leaves its cells red.
-faults-page:
+faults-page: build
 	@records=$$(mktemp) && trap 'rm -f "$$records"' EXIT && verdict=0; \
-	FAULT_MATRIX_FILE=$$records go test -count=1 $(MODULES) || verdict=1; \
+	FAULT_MATRIX_FILE=$$records FAULTS_BIN=$(CURDIR)/bin go test -count=1 $(MODULES) || verdict=1; \
 	go run ./testbed/cmd/faultspage --records "$$records" --output docs/FAULTS.md && exit $$verdict
 
 format:
--- /dev/null
+++ b/testbed/processes/world_test.go
@@ -0,0 +1,254 @@
+package processes
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/operator"
+	"github.com/fireflychute/fireflychute/testbed/target"
+)
+
+const (
+	// binVariable names the directory of the binaries.
+	binVariable = "FAULTS_BIN"
+	// firstPort is the platform's; targets, callers, operators and peers follow,
+	// each with its own hundred.
+	firstPort = 23000
+	service   = "orders"
+	// patience is how long a wait lasts at most, on a machine of any speed.
+	patience = 60 * time.Second
+	pollTime = 50 * time.Millisecond
+	nodes    = 3
+	targets  = 3
+)
+
+// process is a process that a test started.
+type process struct {
+	*exec.Cmd
+	ended bool
+}
+
+func (p *process) signal(signal syscall.Signal) { _ = p.Process.Signal(signal) }
+
+// wait returns the state in which the process ended.
+func (p *process) wait() *os.ProcessState {
+	if !p.ended {
+		_ = p.Cmd.Wait()
+		p.ended = true
+	}
+	return p.ProcessState
+}
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	p.wait()
+}
+
+// world is a platform, targets and nodes as processes.
+type world struct {
+	*WithT
+	t        *testing.T
+	dir      string
+	platform *process
+	targets  []*process
+	nodes    []*process
+	client   *http.Client
+}
+
+func address(group, i int) string { return fmt.Sprintf("127.0.0.1:%d", firstPort+100*group+i) }
+
+func platformAddress() string      { return address(0, 0) }
+func targetAddress(i int) string   { return address(1, i) }
+func callerAddress(i int) string   { return address(2, i) }
+func operatorAddress(i int) string { return address(3, i) }
+func peerAddress(i int) string     { return address(4, i) }
+
+// newWorld starts all processes, with the addresses of the targets as the VM list
+// shows them, and waits until every node serves the configuration.
+func newWorld(t *testing.T, listed []string, targetArgs ...string) *world {
+	if os.Getenv(binVariable) == "" {
+		t.Skipf("%s is not set; run make faults", binVariable)
+	}
+	w := &world{WithT: NewWithT(t), t: t, dir: t.TempDir(), client: &http.Client{
+		Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience,
+	}}
+	w.platform = w.start("platform", "--listen", platformAddress())
+	for i := range targets {
+		w.targets = append(w.targets, w.startTarget(i, targetArgs...))
+	}
+	w.await("platform", func() bool { return w.status("http://"+platformAddress()+"/admin/counts") == 200 })
+	w.listVMs(listed, "")
+	for i := range nodes {
+		w.nodes = append(w.nodes, w.startNode(i))
+	}
+	for i := range nodes {
+		w.await("operator listener", func() bool { return w.status("http://"+operatorAddress(i)+"/livez") == 200 })
+	}
+	w.apply(0, declaration(3000))
+	w.awaitReady(0, 1, 2)
+	return w
+}
+
+func (w *world) start(name string, args ...string) *process {
+	p := &process{Cmd: exec.Command(filepath.Join(os.Getenv(binVariable), name), args...)}
+	log, err := os.Create(filepath.Join(w.dir, name+"-"+strconv.Itoa(len(w.nodes)+len(w.targets))+".log"))
+	w.Expect(err).NotTo(HaveOccurred())
+	p.Stderr = log
+	w.Expect(p.Start()).To(Succeed())
+	w.t.Cleanup(func() {
+		if !p.ended {
+			p.kill()
+		}
+		_ = log.Close()
+		if w.t.Failed() {
+			text, _ := os.ReadFile(log.Name())
+			w.t.Logf("%s %v:\n%s", name, args, text)
+		}
+	})
+	return p
+}
+
+func (w *world) startTarget(i int, args ...string) *process {
+	return w.start("target", append([]string{"--listen", targetAddress(i), "--cold-requests", "0"}, args...)...)
+}
+
+func (w *world) startNode(i int) *process {
+	seeds := []string{}
+	for j := range nodes {
+		seeds = append(seeds, strconv.Quote(peerAddress(j)))
+	}
+	text := fmt.Sprintf("[node]\nname = \"node-%d\"\ndataCentre = \"north\"\n[callers]\nlisten = %q\n[operators]\nlisten = %q\n[peers]\nlisten = %q\nseeds = [%s]\n[platform]\nurl = %q\n",
+		i, callerAddress(i), operatorAddress(i), peerAddress(i), strings.Join(seeds, ", "), "http://"+platformAddress())
+	path := filepath.Join(w.dir, fmt.Sprintf("node-%d.toml", i))
+	w.Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	return w.start("fireflychute", "--settings", path)
+}
+
+func (w *world) await(what string, condition func() bool) {
+	w.t.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(pollTime) {
+		if condition() {
+			return
+		}
+	}
+	w.t.Fatalf("%s: not within %v", what, patience)
+}
+
+func (w *world) awaitReady(nodes ...int) {
+	w.t.Helper()
+	for _, i := range nodes {
+		w.await("readiness", func() bool { return w.status("http://"+operatorAddress(i)+"/readyz") == 200 })
+	}
+}
+
+// status returns the status of a GET, or 0 when there is no answer.
+func (w *world) status(url string) int {
+	answer, err := w.client.Get(url)
+	if err != nil {
+		return 0
+	}
+	_ = answer.Body.Close()
+	return answer.StatusCode
+}
+
+func (w *world) send(method, url string, value any) (int, []byte) {
+	body, err := json.Marshal(value)
+	w.Expect(err).NotTo(HaveOccurred())
+	request, err := http.NewRequest(method, url, bytes.NewReader(body))
+	w.Expect(err).NotTo(HaveOccurred())
+	answer, err := w.client.Do(request)
+	w.Expect(err).NotTo(HaveOccurred())
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	w.Expect(err).NotTo(HaveOccurred())
+	return answer.StatusCode, text
+}
+
+// listVMs puts the nodes and the targets at the addresses on the platform's list,
+// the one at leaving as leaving.
+func (w *world) listVMs(listed []string, leaving string) {
+	vms := []api.VM{}
+	for _, at := range listed {
+		vm := api.VM{Address: at, Role: "target", Service: service, DataCentre: "north", Version: "v1", State: api.VMStateLive}
+		if at == leaving {
+			vm.State = api.VMStateLeaving
+		}
+		vms = append(vms, vm)
+	}
+	for i := range nodes {
+		vms = append(vms, api.VM{Address: peerAddress(i), Role: "node", DataCentre: "north", State: api.VMStateLive})
+	}
+	code, _ := w.send(http.MethodPut, "http://"+platformAddress()+"/admin/vms", vms)
+	w.Expect(code).To(Equal(200))
+}
+
+func object(kind, name string, spec any) api.Object {
+	raw, err := json.Marshal(spec)
+	if err != nil {
+		panic(err)
+	}
+	return api.Object{Kind: kind, Name: name, Spec: raw, Status: json.RawMessage("null")}
+}
+
+func declaration(timeoutMs int) operator.ApplyRequest {
+	return operator.ApplyRequest{Objects: []api.Object{
+		object(api.KindDataCentre, "north", api.DataCentreSpec{State: api.DataCentreStateIn, CapacityPolicy: api.CapacityPolicyRefuse}),
+		object(api.KindService, service, api.ServiceSpec{Slots: 6, Queue: 6, MaxConnections: 260, MeasuringBudget: 2, ReferenceLatencyMs: 20}),
+		object(api.KindWorkKind, "release", api.WorkKindSpec{TimeoutMs: timeoutMs, Weight: 8}),
+		object(api.KindRoute, "orders", api.RouteSpec{PathPrefix: "/orders", Service: service, WorkKind: "release"}),
+	}}
+}
+
+// apply changes the configuration through a node and returns the revision.
+func (w *world) apply(node int, request operator.ApplyRequest) int {
+	w.t.Helper()
+	revision := 0
+	w.await("apply", func() bool {
+		code, text := w.send(http.MethodPost, "http://"+operatorAddress(node)+"/v1/apply", request)
+		var result operator.ApplyResult
+		_ = json.Unmarshal(text, &result)
+		revision = int(result.Revision)
+		return code == 200
+	})
+	return revision
+}
+
+// revision returns the revision that a node applied, by its own account.
+func (w *world) revision(node int) int {
+	answer, err := w.client.Get("http://" + operatorAddress(node) + "/v1/nodes")
+	if err != nil {
+		return 0
+	}
+	defer answer.Body.Close()
+	var list operator.NodeList
+	_ = json.NewDecoder(answer.Body).Decode(&list)
+	for _, status := range list.Nodes {
+		if status.Name == fmt.Sprintf("node-%d", node) {
+			return status.Revision
+		}
+	}
+	return 0
+}
+
+func (w *world) stats(i int) target.Stats {
+	answer, err := w.client.Get("http://" + targetAddress(i) + "/admin/stats")
+	w.Expect(err).NotTo(HaveOccurred())
+	defer answer.Body.Close()
+	var stats target.Stats
+	w.Expect(json.NewDecoder(answer.Body).Decode(&stats)).To(Succeed())
+	return stats
+}
