--- a/testbed/platform/server.go
+++ b/testbed/platform/server.go
@@ -6,12 +6,15 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
+	"sort"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
+	client "github.com/fireflychute/fireflychute/pkg/platform"
 )
 
 // Default rates of the platform, in calls per second.
@@ -62,6 +65,14 @@
 	s.gate.faults = faults
 }
 
+// SetRates replaces the rates, in calls per second. Rates below 1 refuse every call.
+func (s *Server) SetRates(readRate, writeRate float64) {
+	s.gate.mu.Lock()
+	defer s.gate.mu.Unlock()
+	s.gate.reads.rate = readRate
+	s.gate.writes.rate = writeRate
+}
+
 // Counts returns how often the platform was called.
 func (s *Server) Counts() Counts {
 	s.gate.mu.Lock()
@@ -69,6 +80,22 @@
 	return s.gate.counts
 }
 
+// ForgetHistory makes watches from earlier versions fail, as they do once the
+// platform dropped the events after them.
+func (s *Server) ForgetHistory() {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	s.store.forget(len(s.store.history))
+}
+
+// History returns the events since a version that are still kept.
+func (s *Server) History(after uint64) []client.Event {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	first := sort.Search(len(s.store.history), func(i int) bool { return s.store.history[i].Object.Version > after })
+	return slices.Clone(s.store.history[first:])
+}
+
 // SetVMs replaces the VM list after the lag that the faults declare.
 func (s *Server) SetVMs(vms []api.VM) {
 	s.gate.mu.Lock()
@@ -151,6 +178,9 @@
 	deadline := time.After(wait)
 	kind := r.URL.Query().Get("kind")
 	for {
+		if s.gate.watchesBroken() {
+			panic(http.ErrAbortHandler)
+		}
 		events, version, changed, err := s.store.since(kind, after)
 		if err != nil || len(events) > 0 {
 			answer(w, map[string]any{"version": version, "events": events}, err)
@@ -164,9 +194,6 @@
 		case <-r.Context().Done():
 			return
 		}
-		if s.gate.isDown() {
-			panic(http.ErrAbortHandler)
-		}
 	}
 }
 
