Add make capacity: slopes of every part of the system

The command measures each cost at three or more sizes and fits a line, so that the cost at the size to build towards is worked out and not guessed. Fleets run in this process in real time; a node whose peers only answer pings gives the processor time of one control goroutine. A simulation of the fleet was ruled out: the nodes run the project's own control, membership and codec.

The fleet of the testbed can wrap the nodes' store, to count calls by mechanism, and tells which nodes are stopped.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MODULES := ./... ./testbed/...
 TOOL := go tool -modfile=$(CURDIR)/tools/go.mod
 
-.PHONY: build bench demo test race format lint generate generated bench-rollouts
+.PHONY: build bench demo test race format lint generate generated bench-rollouts capacity
 
 build:
 	go build -o bin/ ./cmd/... ./testbed/cmd/...
@@ -13,6 +13,11 @@
 
 bench:
 	go run ./testbed/cmd/bench
+
+# How costs grow with the fleet, the targets and the configuration; under 4 minutes.
+capacity:
+	go run ./testbed/cmd/capacity
+
 # Share of good rollouts done in time and of bad ones taken back; several minutes.
 bench-rollouts:
 	go run ./testbed/cmd/benchrollouts
--- /dev/null
+++ b/testbed/capacity/calls.go
@@ -0,0 +1,120 @@
+package capacity
+
+import (
+	"context"
+	"sync"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	client "github.com/fireflychute/fireflychute/pkg/platform"
+)
+
+// Mechanisms that call the platform.
+const (
+	callLease     = "leases"
+	callWatch     = "watches"
+	callRead      = "manifest and list reads"
+	callStatus    = "statuses"
+	callBlob      = "blobs"
+	callManifest  = "manifest writes"
+	callDuplicate = "idempotency records"
+)
+
+// mechanisms is the order in which they are printed.
+var mechanisms = []string{callLease, callWatch, callRead, callStatus, callBlob, callManifest, callDuplicate}
+
+var mechanismOf = map[string]string{
+	client.KindLease: callLease, client.KindBlob: callBlob, client.KindManifest: callRead, client.KindRequest: callDuplicate,
+	client.KindRolloutStatus: callStatus, client.KindDataCentreStatus: callStatus, client.KindFleetStatus: callStatus,
+}
+
+// callCounter counts the calls of all nodes by mechanism.
+type callCounter struct {
+	mu            sync.Mutex
+	reads, writes map[string]int
+}
+
+func newCallCounter() *callCounter {
+	return &callCounter{reads: map[string]int{}, writes: map[string]int{}}
+}
+
+func (c *callCounter) wrap(store client.Store) client.Store { return countingStore{store, c} }
+
+func (c *callCounter) read(mechanism string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reads[mechanism]++
+}
+
+func (c *callCounter) write(mechanism string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writes[mechanism]++
+}
+
+// take returns the counts since the last call.
+func (c *callCounter) take() (reads, writes map[string]int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reads, writes = c.reads, c.writes
+	c.reads, c.writes = map[string]int{}, map[string]int{}
+	return reads, writes
+}
+
+// countingStore counts the calls that one node makes.
+type countingStore struct {
+	store   client.Store
+	counter *callCounter
+}
+
+// Get implements platform.Store.
+func (s countingStore) Get(ctx context.Context, kind, name string) (client.Object, error) {
+	s.counter.read(mechanismOf[kind])
+	return s.store.Get(ctx, kind, name)
+}
+
+// List implements platform.Store.
+func (s countingStore) List(ctx context.Context, kind string) ([]client.Object, uint64, error) {
+	s.counter.read(mechanismOf[kind])
+	return s.store.List(ctx, kind)
+}
+
+// Create implements platform.Store.
+func (s countingStore) Create(ctx context.Context, kind, name string, value []byte) (uint64, error) {
+	s.counter.write(writer(kind))
+	return s.store.Create(ctx, kind, name, value)
+}
+
+// Update implements platform.Store.
+func (s countingStore) Update(ctx context.Context, kind, name string, value []byte, ifVersion uint64) (uint64, error) {
+	s.counter.write(writer(kind))
+	return s.store.Update(ctx, kind, name, value, ifVersion)
+}
+
+// Delete implements platform.Store.
+func (s countingStore) Delete(ctx context.Context, kind, name string, ifVersion uint64) error {
+	s.counter.write(writer(kind))
+	return s.store.Delete(ctx, kind, name, ifVersion)
+}
+
+// Watch implements platform.Store.
+func (s countingStore) Watch(ctx context.Context, kind string, after uint64) ([]client.Event, uint64, error) {
+	s.counter.read(callWatch)
+	return s.store.Watch(ctx, kind, after)
+}
+
+// VMs implements platform.Store. A read from version 0 does not wait.
+func (s countingStore) VMs(ctx context.Context, after uint64) (api.VMList, error) {
+	if after == 0 {
+		s.counter.read(callRead)
+	} else {
+		s.counter.read(callWatch)
+	}
+	return s.store.VMs(ctx, after)
+}
+
+func writer(kind string) string {
+	if kind == client.KindManifest {
+		return callManifest
+	}
+	return mechanismOf[kind]
+}
--- /dev/null
+++ b/testbed/capacity/capacity_test.go
@@ -0,0 +1,70 @@
+package capacity
+
+import (
+	"bytes"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	client "github.com/fireflychute/fireflychute/pkg/platform"
+	"github.com/fireflychute/fireflychute/testbed/platform"
+)
+
+// Guards against a wrong slope, and against a curve that is reported as a line.
+func TestFit(t *testing.T) {
+	g := NewWithT(t)
+	line := Fit([]float64{1, 2, 4}, []float64{5, 7, 11})
+	g.Expect([]float64{line.Slope, line.Intercept, line.At(10)}).To(HaveExactElements(
+		BeNumerically("~", 2, 1e-9), BeNumerically("~", 3, 1e-9), BeNumerically("~", 23, 1e-9)))
+	g.Expect(line.Linear).To(BeTrue())
+	curve := Fit([]float64{1, 2, 3}, []float64{0, 3, 0})
+	g.Expect(curve.Residual).To(BeNumerically("~", 2, 1e-9))
+	g.Expect(curve.Linear).To(BeFalse())
+}
+
+// Guards against units that are lost or counted twice when limits are divided.
+func TestDivisionAddsUp(t *testing.T) {
+	g := NewWithT(t)
+	d := divide(100)
+	g.Expect(d.mean * 100).To(BeNumerically("~", targetsPerService*(slots+queue), 1e-9))
+	g.Expect(d.without).To(BeNumerically(">", 0))
+}
+
+// Guards against calls that are counted under another mechanism.
+func TestCallsAreCountedByMechanism(t *testing.T) {
+	g := NewWithT(t)
+	counter := newCallCounter()
+	store := counter.wrap(platform.Direct{Server: platform.NewServer(unlimited, unlimited)})
+	_, err := store.Create(t.Context(), client.KindLease, "x", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = store.Get(t.Context(), client.KindLease, "x")
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = store.Create(t.Context(), client.KindManifest, client.ManifestName, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	steady := map[string]float64{"leases, read": 0.5}
+	g.Expect(counter.perUnit(2, steady, 1)).To(Equal(map[string]float64{
+		"leases, read": 0.25, "leases, write": 0.5, "manifest writes, write": 0.5,
+	}))
+	g.Expect(counter.perUnit(1, nil, 0)).To(BeEmpty())
+}
+
+// Guards against a change that is measured as a full configuration.
+func TestDeltaIsSmallerThanTheWhole(t *testing.T) {
+	g := NewWithT(t)
+	c, err := changeOf(3)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.delta).To(BeNumerically("<", c.full/2))
+	objects := declaration(3)
+	g.Expect(objects[firstWorkKind].Kind).To(Equal(api.KindWorkKind))
+	g.Expect(objects).To(HaveLen(firstWorkKind - 1 + 3*12))
+}
+
+// Guards against a table that hides a series that is not linear.
+func TestTableTellsWhatIsNotLinear(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	Report{Out: &out}.Print("title", "nodes", []float64{1, 2, 3}, 4, Series{"line", []float64{1, 2, 3}}, Series{"curve", []float64{0, 3, 0}})
+	g.Expect(out.String()).To(ContainSubstring("2 (not linear)"))
+	g.Expect(out.String()).To(ContainSubstring("fit at 4"))
+}
--- /dev/null
+++ b/testbed/capacity/node.go
@@ -0,0 +1,189 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/control"
+	"github.com/fireflychute/fireflychute/pkg/explain"
+	"github.com/fireflychute/fireflychute/pkg/membership"
+	"github.com/fireflychute/fireflychute/pkg/message"
+	client "github.com/fireflychute/fireflychute/pkg/platform"
+	"github.com/fireflychute/fireflychute/pkg/snapshot"
+	"github.com/fireflychute/fireflychute/testbed/fleet"
+	"github.com/fireflychute/fireflychute/testbed/platform"
+)
+
+const (
+	// unlimited is a rate of platform calls that no measurement reaches.
+	unlimited = 1e9
+	selfName  = "self"
+	// startLimit bounds the start of a node or a fleet.
+	startLimit = 60 * time.Second
+)
+
+var errNotStarted = errors.New("did not start within a minute")
+
+// size is what the control state of a node grows with.
+type size struct {
+	nodes, targets, services int
+}
+
+// node is a controller whose peers only answer pings, so that the processor time
+// of the process is that of one node.
+type node struct {
+	controller *control.Controller
+	backend    *control.Backend
+	published  atomic.Pointer[snapshot.Snapshot]
+	size       size
+	cancel     context.CancelFunc
+	stopped    chan struct{}
+}
+
+// newPlatform returns a stand-in that holds a declaration and a list of VMs.
+func newPlatform(s size) (*platform.Server, error) {
+	server := platform.NewServer(unlimited, unlimited)
+	store := platform.Direct{Server: server}
+	manifest, blobs := manifestOf(declaration(s.services))
+	for digest, blob := range blobs {
+		_, err := store.Create(context.Background(), client.KindBlob, digest, blob)
+		if err != nil {
+			return nil, err
+		}
+	}
+	_, err := store.Create(context.Background(), client.KindManifest, client.ManifestName, encode(manifest))
+	server.SetVMs(append(targetVMs(s.targets, s.services), nodeVMs(s.nodes)...))
+	return server, err
+}
+
+// startNode starts a node and waits until it is ready.
+func startNode(server *platform.Server, s size) (*node, error) {
+	n := &node{size: s, stopped: make(chan struct{})}
+	n.controller = control.New(control.Options{
+		Self:      membership.Member{Name: selfName, Address: peerAddress(0), DataCentre: fleet.DataCentres[0], Incarnation: 1},
+		Seeds:     []string{peerAddress(1)},
+		Store:     copyingStore{platform.Direct{Server: server}},
+		Peers:     answeringPeers{n},
+		Published: &n.published,
+		Probe:     noProbe{},
+		Random:    rand.New(rand.NewPCG(1, 1)),
+		Log:       zerolog.Nop(),
+	})
+	n.backend = control.NewBackend(n.controller, &explain.Ring{})
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	go func() {
+		defer close(n.stopped)
+		_ = n.controller.Run(ctx)
+	}()
+	n.introduce(1, s.nodes-1)
+	if !fleet.WaitUntil(startLimit, n.ready) {
+		return nil, errors.Wrapf(errNotStarted, "node of size %+v", s)
+	}
+	return n, nil
+}
+
+func (n *node) ready() bool {
+	return n.backend.Readiness().Ready && n.published.Load() != nil
+}
+
+func (n *node) stop() {
+	n.cancel()
+	<-n.stopped
+}
+
+// introduce tells the node of peers.
+func (n *node) introduce(first, count int) {
+	members := []message.Member{}
+	for i := first; i < first+count; i++ {
+		members = append(members, message.Member{
+			Name: peerName(i), Address: peerAddress(i), DataCentre: fleet.DataCentres[i%len(fleet.DataCentres)], Incarnation: 1,
+		})
+	}
+	n.deliver(&message.Gossip{Counted: n.size.nodes, Established: true, Members: members})
+}
+
+// deliver hands gossip to the node.
+func (n *node) deliver(gossip *message.Gossip) {
+	n.controller.Deliver(peerName(1), message.Message{
+		From: peerName(1), Address: peerAddress(1), Ping: &message.Ping{Target: selfName, Gossip: gossip},
+	})
+}
+
+// wait returns when the node has handled all that was delivered before.
+func (n *node) wait() {
+	n.controller.Deliver(peerName(1), message.Message{ConfigFetch: &message.ConfigFetch{Have: 1 << 62}})
+}
+
+func peerName(i int) string { return fmt.Sprintf("node-%03d", i) }
+
+func peerAddress(i int) string { return fmt.Sprintf("127.1.0.%d:7946", i+1) }
+
+func nodeVMs(count int) []api.VM {
+	vms := []api.VM{}
+	for i := range count {
+		vms = append(vms, api.VM{Address: peerAddress(i), Role: "node", DataCentre: fleet.DataCentres[i%len(fleet.DataCentres)], State: api.VMStateLive})
+	}
+	return vms
+}
+
+// answeringPeers stands for established peers that agree with the node.
+type answeringPeers struct{ node *node }
+
+// Send implements control.Peers.
+func (p answeringPeers) Send(to string, m message.Message) {
+	answer := message.Message{Address: to}
+	switch {
+	case m.Ping != nil && m.Ping.Sequence != 0:
+		answer.From = m.Ping.Target
+		if answer.From == "" {
+			answer.From = peerName(1)
+		}
+		answer.Ack = &message.Ack{
+			Sequence: m.Ping.Sequence, Target: answer.From, Gossip: &message.Gossip{Counted: p.node.size.nodes, Established: true},
+		}
+	case m.SyncRequest != nil:
+		answer.From = peerName(1)
+		answer.SyncReply = &message.SyncReply{Sequence: m.SyncRequest.Sequence, Established: true}
+	default:
+		return
+	}
+	go p.node.controller.Deliver(answer.From, answer)
+}
+
+// Call implements control.Peers.
+func (answeringPeers) Call(context.Context, string, message.Message) (message.Message, error) {
+	return message.Message{}, errors.New("peers hold no documents")
+}
+
+// copyingStore copies the list of VMs through its encoding, as the real client
+// does, so that a node's memory includes its own copy.
+type copyingStore struct{ platform.Direct }
+
+// VMs implements platform.Store.
+func (s copyingStore) VMs(ctx context.Context, after uint64) (api.VMList, error) {
+	list, err := s.Direct.VMs(ctx, after)
+	if err != nil {
+		return list, err
+	}
+	var copied api.VMList
+	err = json.Unmarshal(encode(list), &copied)
+	return copied, err
+}
+
+// noProbe fails every probe without a cost.
+type noProbe struct{}
+
+// RoundTrip implements http.RoundTripper.
+func (noProbe) RoundTrip(*http.Request) (*http.Response, error) {
+	return nil, errors.New("no probes")
+}
--- /dev/null
+++ b/testbed/capacity/platform.go
@@ -0,0 +1,147 @@
+package capacity
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+	"github.com/pkg/errors"
+
+	"github.com/fireflychute/fireflychute/testbed/fleet"
+)
+
+const (
+	// steadyTime covers two of the slowest regular calls, the watches of 20 s.
+	steadyTime = 40 * time.Second
+	// eventPause lets the calls that follow an event end before the next one.
+	eventPause    = 2 * time.Second
+	countedEvents = 3 // changes, and starts of nodes
+)
+
+// PlatformSizes are the fleets at which calls on the platform are counted.
+var PlatformSizes = []int{4, 19, 60}
+
+// callRates is how often a fleet called the platform, by mechanism: per second
+// without changes, per configuration change and per start of a node.
+type callRates struct {
+	steady, change, start map[string]float64
+	err                   error
+}
+
+// Platform counts the calls on the platform and, if wanted, measures recovery. The
+// fleets run at the same time, since no processor time is measured.
+func Platform(r Report, nodes int, recovery bool) error {
+	rates := make([]callRates, len(PlatformSizes))
+	var failed error
+	var fleets sync.WaitGroup
+	if recovery {
+		fleets.Go(func() { failed = Recovery(r) })
+	}
+	for i, size := range PlatformSizes {
+		fleets.Go(func() { rates[i] = countCalls(size) })
+	}
+	fleets.Wait()
+	if failed != nil {
+		return failed
+	}
+	for _, one := range rates {
+		if one.err != nil {
+			return one.err
+		}
+	}
+	printRates(r, "(f) platform calls per second without changes", nodes, rates, func(c callRates) map[string]float64 { return c.steady })
+	printRates(r, "(f) platform calls per configuration change", nodes, rates, func(c callRates) map[string]float64 { return c.change })
+	printRates(r, "(f) platform calls per start of a node", nodes, rates, func(c callRates) map[string]float64 { return c.start })
+	return nil
+}
+
+func printRates(r Report, title string, nodes int, rates []callRates, of func(callRates) map[string]float64) {
+	header := table.Row{"mechanism"}
+	sizes := []float64{}
+	for _, size := range PlatformSizes {
+		header = append(header, fmt.Sprintf("%d nodes", size))
+		sizes = append(sizes, float64(size))
+	}
+	header = append(header, "per node", "largest residual", fmt.Sprintf("fit at %d", nodes))
+	rows := []table.Row{}
+	for _, name := range mechanisms {
+		for _, verb := range []string{"read", "write"} {
+			values := []float64{}
+			for _, one := range rates {
+				values = append(values, of(one)[name+", "+verb])
+			}
+			if sum(values) == 0 {
+				continue
+			}
+			line := Fit(sizes, values)
+			row := table.Row{name + ", " + verb}
+			for _, value := range values {
+				row = append(row, number(value))
+			}
+			rows = append(rows, append(row, number(line.Slope), number(line.Residual)+verdict(line), number(line.At(float64(nodes)))))
+		}
+	}
+	r.Rows(title, header, rows)
+}
+
+func countCalls(nodes int) callRates {
+	counter := newCallCounter()
+	l, err := startFleet(nodes, counter.wrap)
+	if err != nil {
+		return callRates{err: err}
+	}
+	defer l.stop()
+	time.Sleep(eventPause)
+	counter.take()
+	time.Sleep(steadyTime)
+	rates := callRates{}
+	rates.steady = counter.perUnit(steadyTime.Seconds(), nil, 0)
+	rates.change, rates.err = l.countEvents(counter, rates.steady, func(int) error {
+		_, err := l.change(l.Nodes[0])
+		return err
+	})
+	if rates.err != nil {
+		return rates
+	}
+	rates.start, rates.err = l.countEvents(counter, rates.steady, func(i int) error {
+		node := l.Nodes[nodes-1-i]
+		l.restart(node)
+		if !fleet.WaitUntil(startLimit, func() bool { return node.Backend.Readiness().Ready }) {
+			return errors.Wrap(errNotStarted, node.Name)
+		}
+		return nil
+	})
+	return rates
+}
+
+// countEvents returns the calls per event beyond the steady ones.
+func (l *live) countEvents(counter *callCounter, steady map[string]float64, event func(i int) error) (map[string]float64, error) {
+	counter.take()
+	began := time.Now()
+	for i := range countedEvents {
+		err := event(i)
+		if err != nil {
+			return nil, err
+		}
+		time.Sleep(eventPause)
+	}
+	return counter.perUnit(countedEvents, steady, time.Since(began).Seconds()), nil
+}
+
+// perUnit returns the counts since the last call, without the steady calls of some
+// seconds, divided by units.
+func (c *callCounter) perUnit(units float64, steady map[string]float64, seconds float64) map[string]float64 {
+	reads, writes := c.take()
+	result := map[string]float64{}
+	for name, count := range reads {
+		result[name+", read"] = float64(count)
+	}
+	for name, count := range writes {
+		result[name+", write"] = float64(count)
+	}
+	for name, count := range result {
+		result[name] = max(count-steady[name]*seconds, 0) / units
+	}
+	return result
+}
--- /dev/null
+++ b/testbed/capacity/random.go
@@ -0,0 +1,11 @@
+package capacity
+
+import (
+	"math"
+	"math/rand/v2"
+)
+
+// lognormal returns a log-normal value with median 1.
+func lognormal(random *rand.Rand) float64 {
+	return math.Exp(spread * random.NormFloat64())
+}
--- /dev/null
+++ b/testbed/cmd/capacity/main.go
@@ -0,0 +1,66 @@
+// Command capacity measures how the cost of each part of the system grows with its
+// size. docs/CAPACITY.md rests on what it prints.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/fireflychute/fireflychute/testbed/capacity"
+)
+
+type options struct {
+	Nodes int    `long:"nodes" default:"60" description:"size of the fleet for which lines are worked out"`
+	Cores int    `long:"cores" default:"2" description:"cores of a node VM"`
+	Only  string `long:"only" default:"abcdefghi" description:"letters of the measurements to make"`
+}
+
+func main() {
+	var opts options
+	_, err := flags.Parse(&opts)
+	if err != nil {
+		os.Exit(2)
+	}
+	err = run(opts)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(opts options) error {
+	report := capacity.Report{Out: os.Stdout}
+	fmt.Printf("%s, %d processors, %s\n", runtime.Version(), runtime.NumCPU(), time.Now().UTC().Format(time.RFC3339))
+	// The measurements of processor time come first, one at a time.
+	measurements := []struct {
+		letter string
+		run    func() error
+	}{
+		{"e", func() error { return capacity.Traffic(report, opts.Cores) }},
+		{"b", func() error { return capacity.Control(report, []int{60, 150}) }},
+		{"d", func() error { return capacity.Changes(report) }},
+		{"d", func() error { return capacity.Lists(report, opts.Nodes) }},
+		{"g", func() error { return capacity.Reports(report, opts.Nodes) }},
+		{"h", func() error { capacity.Units(report); return nil }},
+		{"a", func() error { return capacity.Gossip(report, opts.Nodes) }},
+		{"c", func() error { return capacity.Memory(report) }},
+		{"fi", func() error { return capacity.Platform(report, opts.Nodes, strings.Contains(opts.Only, "i")) }},
+	}
+	for _, one := range measurements {
+		if !strings.ContainsAny(opts.Only, one.letter) {
+			continue
+		}
+		began := time.Now()
+		err := one.run()
+		if err != nil {
+			return err
+		}
+		fmt.Printf("measured in %.0f s\n\n", time.Since(began).Seconds())
+	}
+	return nil
+}
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/fireflychute/fireflychute/pkg/explain"
 	"github.com/fireflychute/fireflychute/pkg/membership"
 	"github.com/fireflychute/fireflychute/pkg/operator"
+	client "github.com/fireflychute/fireflychute/pkg/platform"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
 	"github.com/fireflychute/fireflychute/testbed/platform"
 )
@@ -32,6 +33,8 @@
 	network  *network
 	seeds    []string
 	starts   uint64
+	// Wrap returns the store that nodes use in place of the given one; nil keeps it.
+	Wrap func(client.Store) client.Store
 	// Log receives the nodes' log lines; nothing by default.
 	Log zerolog.Logger
 }
@@ -94,7 +97,10 @@
 	f.starts++
 	node.Published = &atomic.Pointer[snapshot.Snapshot]{}
 	node.stopped = make(chan struct{})
-	store := platform.Direct{Server: f.Platform, Reachable: func() bool { return !node.CutOff.Load() }}
+	var store client.Store = platform.Direct{Server: f.Platform, Reachable: func() bool { return !node.CutOff.Load() }}
+	if f.Wrap != nil {
+		store = f.Wrap(store)
+	}
 	node.Controller = control.New(control.Options{
 		Self: membership.Member{
 			Name: node.Name, Address: node.Address, DataCentre: node.DataCentre, Incarnation: f.starts,
@@ -135,6 +141,16 @@
 	node.CutOff.Store(false)
 }
 
+// Stopped tells that the node does not run.
+func (n *Node) Stopped() bool {
+	select {
+	case <-n.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
 // settleTime is longer than any call that a node leaves behind.
 const settleTime = 30 * time.Second
 
