Rank targets once per change of the fleet, not at each tick

Cause: Collect asked share.Units for each target at each tick, which hashes every node of the fleet again, although the registry keeps this node's rank; and each lookup of that rank compared the whole list of nodes.

UnitsAt divides a limit by a known rank, and the list of nodes is compared once per collection.

--- a/pkg/share/share.go
+++ b/pkg/share/share.go
@@ -58,9 +58,20 @@
 	if total <= 0 || !slices.Contains(nodes, node) {
 		return 0
 	}
-	units := total / len(nodes)
-	remainder := total % len(nodes)
-	if remainder > 0 && Rank(key, node, nodes) < remainder {
+	if total%len(nodes) == 0 {
+		return total / len(nodes)
+	}
+	return UnitsAt(Rank(key, node, nodes), len(nodes), total)
+}
+
+// UnitsAt is Units for a node whose rank among count nodes is known. A rank of count
+// or more is that of a node that is not listed.
+func UnitsAt(rank, count, total int) int {
+	if total <= 0 || rank >= count {
+		return 0
+	}
+	units := total / count
+	if rank < total%count {
 		units++
 	}
 	return units
--- a/pkg/share/share_test.go
+++ b/pkg/share/share_test.go
@@ -9,7 +9,8 @@
 )
 
 // Guards against units that are lost or handed out twice, and against a rank that
-// depends on the order in which nodes are listed.
+// depends on the order in which nodes are listed, and against units by a kept rank
+// that differ from those by a new one.
 func TestUnitsAddUpToTotal(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		nodes := rapid.SliceOfNDistinct(rapid.StringN(1, 8, 16), 1, 40, rapid.ID).Draw(t, "nodes")
@@ -19,11 +20,13 @@
 		g := NewWithT(t)
 		sum := 0
 		for rank, node := range Ranked(key, nodes) {
+			g.Expect(UnitsAt(rank, len(nodes), total)).To(Equal(Units(key, node, shuffled, total)))
 			g.Expect(Rank(key, node, shuffled)).To(Equal(rank))
 			sum += Units(key, node, shuffled, total)
 		}
 		g.Expect(sum).To(Equal(max(total, 0)))
 		g.Expect(Units(key, "a name that is longer than any", nodes, total)).To(BeZero())
+		g.Expect(UnitsAt(len(nodes), len(nodes), total)).To(BeZero())
 	})
 }
 
--- a/pkg/target/collect.go
+++ b/pkg/target/collect.go
@@ -17,15 +17,17 @@
 // since the last call, to be published. nodes is the counted fleet.
 func (r *Registry) Collect(now time.Time, nodes []string, services map[string]api.ServiceSpec) []Fact {
 	facts := []Fact{}
+	r.setNodes(nodes)
 	for _, address := range r.order {
 		s := r.targets[address]
 		spec := services[s.service]
 		s.limit = spec.Slots + spec.Queue
 		s.takeReport()
-		owner := r.rankOf(s, nodes) == 0
+		rank := r.rankOf(s)
+		owner := rank == 0
 		s.counters.owner.Store(owner)
 		window := s.window(now, spec)
-		window.Units = share.Units(address, r.self, nodes, s.units())
+		window.Units = share.UnitsAt(rank, len(nodes), s.units())
 		s.step(window, owner)
 		facts = append(facts, s.takeFacts()...)
 	}
--- a/pkg/target/probe.go
+++ b/pkg/target/probe.go
@@ -68,9 +68,10 @@
 // node spends at most its rate times this time plus one probe of each kind.
 func (r *Registry) Probes(now time.Time, nodes []string, services map[string]api.ServiceSpec) []Probe {
 	probes := []Probe{}
+	r.setNodes(nodes)
 	for _, address := range r.order {
 		s := r.targets[address]
-		s.refill(now, services[s.service].MeasuringBudget, r.rankOf(s, nodes), len(nodes), r.fleet)
+		s.refill(now, services[s.service].MeasuringBudget, r.rankOf(s), len(nodes), r.fleet)
 		reason, due := s.due(now)
 		if !due {
 			continue
--- a/pkg/target/registry.go
+++ b/pkg/target/registry.go
@@ -215,18 +215,23 @@
 	return s
 }
 
-// rankOf returns this node's rank for a target. Ranks are kept while the fleet
-// stays the same, because hashing every node for every target 10 times a second
-// costs several percent of a core at full size.
-func (r *Registry) rankOf(s *state, nodes []string) int {
-	if !slices.Equal(r.nodes, nodes) {
-		r.nodes = slices.Clone(nodes)
-		for _, other := range r.targets {
-			other.rank = -1
-		}
+// setNodes forgets the ranks when the counted fleet is another one. They are kept
+// while it stays the same, because hashing every node for every target 10 times a
+// second costs several percent of a core at full size.
+func (r *Registry) setNodes(nodes []string) {
+	if slices.Equal(r.nodes, nodes) {
+		return
+	}
+	r.nodes = slices.Clone(nodes)
+	for _, s := range r.targets {
+		s.rank = -1
 	}
+}
+
+// rankOf returns this node's rank for a target in the fleet last set.
+func (r *Registry) rankOf(s *state) int {
 	if s.rank < 0 {
-		s.rank = share.Rank(s.address, r.self, nodes)
+		s.rank = share.Rank(s.address, r.self, r.nodes)
 	}
 	return s.rank
 }
