--- a/testbed/capacity/control.go
+++ b/testbed/capacity/control.go
@@ -9,7 +9,7 @@
 
 const (
 	// tickingTime is how long a node is observed at tick rate.
-	tickingTime = 3 * time.Second
+	tickingTime = 2 * time.Second
 	// changes is how many changes of a kind are made.
 	changes = 100
 	// newMembers is how many nodes join one after the other.
@@ -38,6 +38,7 @@
 	garbage := Series{Name: "allocated, KB/s"}
 	fact := Series{Name: "one fact of a target, us"}
 	member := Series{Name: "one new node, us"}
+	list := Series{Name: "list for a peer, us"}
 	for _, s := range ControlSizes {
 		s.nodes = nodes
 		server, err := newPlatform(s)
@@ -57,9 +58,12 @@
 		garbage.Values = append(garbage.Values, used.kilobytes(seconds))
 		fact.Values = append(fact.Values, n.costOf(changes, n.changeTarget))
 		member.Values = append(member.Values, n.costOf(newMembers, func(i int) { n.introduce(s.nodes+i, 1) }))
+		list.Values = append(list.Values, n.costOf(changes, func(int) {
+			n.controller.Deliver(peerName(1), message.Message{VmFetch: &message.VmFetch{}})
+		}))
 		n.stop()
 	}
-	r.Print(fmt.Sprintf("(b) control goroutine of a node, fleet of %d; services 3, 20, 80", nodes), "targets", xs, 0, idle, garbage, fact, member)
+	r.Print(fmt.Sprintf("(b) control goroutine of a node, fleet of %d; services 3, 20, 80", nodes), "targets", xs, 0, idle, garbage, fact, member, list)
 	return nil
 }
 
--- a/testbed/capacity/table.go
+++ b/testbed/capacity/table.go
@@ -22,9 +22,9 @@
 // Print prints a table with a row per size, and the fit of each series. target is
 // the size for which the fit is worked out; 0 leaves that row out.
 func (r Report) Print(title, size string, sizes []float64, target float64, series ...Series) {
+	_, _ = fmt.Fprintln(r.Out, title)
 	rows := table.NewWriter()
 	rows.SetOutputMirror(r.Out)
-	rows.SetTitle(title)
 	header := table.Row{size}
 	for _, s := range series {
 		header = append(header, s.Name)
@@ -56,9 +56,9 @@
 
 // Rows prints a table without a fit.
 func (r Report) Rows(title string, header table.Row, rows []table.Row) {
+	_, _ = fmt.Fprintln(r.Out, title)
 	writer := table.NewWriter()
 	writer.SetOutputMirror(r.Out)
-	writer.SetTitle(title)
 	writer.AppendHeader(header)
 	writer.AppendRows(rows)
 	writer.Render()
