--- a/pkg/control/options.go
+++ b/pkg/control/options.go
@@ -51,6 +51,9 @@
 	reportTime = 2 * time.Second
 	// isolationTime is how long a node keeps serving without any peer or the platform.
 	isolationTime = 5 * time.Second
+	// aloneCheckTime is the silence after which a node looks whether it knows of
+	// other nodes; asking at each event would sort the members each time.
+	aloneCheckTime = time.Second
 	// platformCallTime bounds a call on the platform that is not a watch.
 	platformCallTime = 3 * time.Second
 	// peerCallTime bounds a call on a peer.
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/fireflychute/fireflychute/pkg/explain"
 	"github.com/fireflychute/fireflychute/pkg/membership"
 	"github.com/fireflychute/fireflychute/pkg/operator"
+	client "github.com/fireflychute/fireflychute/pkg/platform"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
 	"github.com/fireflychute/fireflychute/testbed/platform"
 )
@@ -32,6 +33,8 @@
 	network  *network
 	seeds    []string
 	starts   uint64
+	// Wrap returns the store that nodes use in place of the given one; nil keeps it.
+	Wrap func(client.Store) client.Store
 	// Log receives the nodes' log lines; nothing by default.
 	Log zerolog.Logger
 	// OnCall sees each call of a node on the platform before it is sent and after
@@ -99,7 +102,10 @@
 	f.starts++
 	node.Published = &atomic.Pointer[snapshot.Snapshot]{}
 	node.stopped = make(chan struct{})
-	direct := platform.Direct{Server: f.Platform, Reachable: func() bool { return !node.CutOff.Load() }}
+	var direct client.Store = platform.Direct{Server: f.Platform, Reachable: func() bool { return !node.CutOff.Load() }}
+	if f.Wrap != nil {
+		direct = f.Wrap(direct)
+	}
 	store := link{Store: direct, node: node, hook: f.OnCall}
 	node.Controller = control.New(control.Options{
 		Self: membership.Member{
@@ -152,6 +158,16 @@
 	node.gate.open()
 }
 
+// Stopped tells that the node does not run.
+func (n *Node) Stopped() bool {
+	select {
+	case <-n.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
 // settleTime is longer than any call that a node leaves behind.
 const settleTime = 30 * time.Second
 
