--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,10 @@
 TOOL := go tool -modfile=$(CURDIR)/tools/go.mod
 
 .PHONY: build demo bench bench-rollouts bench-latency test race format lint generate generated
+.PHONY: build bench demo test race format lint generate generated bench-rollouts
+.PHONY: build bench-latency demo test race format lint generate generated
+.PHONY: build bench demo test race faults faults-page format lint generate generated bench-rollouts
+.PHONY: build bench demo test race format lint generate generated bench-rollouts capacity
 
 build:
 	go build -o bin/ ./cmd/... ./testbed/cmd/...
@@ -14,6 +18,10 @@
 bench:
 	go run ./testbed/cmd/bench
 
+# How costs grow with the fleet, the targets and the configuration; under 4 minutes.
+capacity:
+	go run ./testbed/cmd/capacity
+
 # Share of good rollouts done in time and of bad ones taken back; several minutes.
 bench-rollouts:
 	go run ./testbed/cmd/benchrollouts
@@ -28,11 +36,21 @@
 race:
 	go test -race $(MODULES)
 
+# Faults over separate processes with real signals, on loopback ports from 23000.
+faults: build
+	FAULTS_BIN=$(CURDIR)/bin go test -count=1 -timeout 5m -v ./testbed/processes
+
+# Renders docs/FAULTS.md from a run of all tests; a failed test leaves its cells red.
+faults-page: build
+	@records=$$(mktemp) && trap 'rm -f "$$records"' EXIT && verdict=0; \
+	FAULT_MATRIX_FILE=$$records FAULTS_BIN=$(CURDIR)/bin go test -count=1 $(MODULES) || verdict=1; \
+	go run ./testbed/cmd/faultspage --records "$$records" --output docs/FAULTS.md && exit $$verdict
+
 format:
-	GOWORK=off $(TOOL) gofumpt -w cmd pkg testbed
+	GOWORK=off $(TOOL) gofumpt -w cmd internal pkg testbed
 
 lint:
-	@unformatted=$$(GOWORK=off $(TOOL) gofumpt -l cmd pkg testbed); \
+	@unformatted=$$(GOWORK=off $(TOOL) gofumpt -l cmd internal pkg testbed); \
 	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
 	go vet $(MODULES)
 	staticcheck=$$(GOWORK=off $(TOOL) -n staticcheck) && $$staticcheck -checks all,-ST1005,-ST1016 $(MODULES)
--- a/pkg/control/build.go
+++ b/pkg/control/build.go
@@ -67,14 +67,18 @@
 	if c.platformHeardAt.After(heard) {
 		heard = c.platformHeardAt
 	}
-	alone := len(c.members.Members()) <= 1
-	if alone {
+	if now.Sub(heard) >= aloneCheckTime && c.alone() {
 		heard = now
 	}
 	c.validity.Extend(heard.Add(isolationTime))
 	return now.Sub(heard) >= isolationTime
 }
 
+// alone tells that this node knows of no other node.
+func (c *Controller) alone() bool {
+	return len(c.members.Members()) <= 1
+}
+
 // units returns this node's part of a target's limit. A node that has not joined
 // uses none, because the others do not count it yet.
 func (c *Controller) units(entry target.Entry) int {
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/fireflychute/fireflychute/pkg/explain"
 	"github.com/fireflychute/fireflychute/pkg/membership"
 	"github.com/fireflychute/fireflychute/pkg/operator"
+	client "github.com/fireflychute/fireflychute/pkg/platform"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
 	"github.com/fireflychute/fireflychute/testbed/platform"
 )
@@ -32,8 +33,14 @@
 	network  *network
 	seeds    []string
 	starts   uint64
+	// Wrap returns the store that nodes use in place of the given one; nil keeps it.
+	Wrap func(client.Store) client.Store
 	// Log receives the nodes' log lines; nothing by default.
 	Log zerolog.Logger
+	// OnCall sees each call of a node on the platform before it is sent and after
+	// it was answered, on the goroutine of the call; may be nil. It is set before
+	// nodes start.
+	OnCall func(Call)
 }
 
 // Node is one node of the fleet.
@@ -46,6 +53,7 @@
 	Published  *atomic.Pointer[snapshot.Snapshot]
 	// CutOff tells that the node does not reach the platform.
 	CutOff   atomic.Bool
+	gate     gate
 	operator *operator.Server
 	cancel   context.CancelFunc
 	stopped  chan struct{}
@@ -94,14 +102,18 @@
 	f.starts++
 	node.Published = &atomic.Pointer[snapshot.Snapshot]{}
 	node.stopped = make(chan struct{})
-	store := platform.Direct{Server: f.Platform, Reachable: func() bool { return !node.CutOff.Load() }}
+	var direct client.Store = platform.Direct{Server: f.Platform, Reachable: func() bool { return !node.CutOff.Load() }}
+	if f.Wrap != nil {
+		direct = f.Wrap(direct)
+	}
+	store := link{Store: direct, node: node, hook: f.OnCall}
 	node.Controller = control.New(control.Options{
 		Self: membership.Member{
 			Name: node.Name, Address: node.Address, DataCentre: node.DataCentre, Incarnation: f.starts,
 		},
 		Seeds:     f.seeds,
 		Store:     store,
-		Peers:     &port{network: f.network, name: node.Name, address: node.Address},
+		Peers:     &port{network: f.network, gate: &node.gate, name: node.Name, address: node.Address},
 		Published: node.Published,
 		Probe:     noProbe{},
 		Random:    rand.New(rand.NewPCG(f.starts, 1)),
@@ -135,12 +147,34 @@
 	node.CutOff.Store(false)
 }
 
+// Pause stops a node at its next message or call, in the middle of what it does.
+// It goes on from there with Resume, and may use a time that it read before.
+func (f *Fleet) Pause(node *Node) {
+	node.gate.close()
+}
+
+// Resume ends a pause.
+func (f *Fleet) Resume(node *Node) {
+	node.gate.open()
+}
+
+// Stopped tells that the node does not run.
+func (n *Node) Stopped() bool {
+	select {
+	case <-n.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
 // settleTime is longer than any call that a node leaves behind.
 const settleTime = 30 * time.Second
 
 // StopAll stops all nodes and waits for their calls to end.
 func (f *Fleet) StopAll() {
 	for _, node := range f.Nodes {
+		node.gate.open()
 		node.cancel()
 	}
 	for _, node := range f.Nodes {
