--- a/Makefile
+++ b/Makefile
@@ -3,11 +3,7 @@
 MODULES := ./... ./testbed/...
 TOOL := go tool -modfile=$(CURDIR)/tools/go.mod
 
-.PHONY: build demo bench bench-rollouts bench-latency test race format lint generate generated
-.PHONY: build bench demo test race format lint generate generated bench-rollouts
-.PHONY: build bench-latency demo test race format lint generate generated
-.PHONY: build bench demo test race faults faults-page format lint generate generated bench-rollouts
-.PHONY: build bench demo test race format lint generate generated bench-rollouts capacity
+.PHONY: build demo bench bench-rollouts bench-latency test race format lint generate generated faults faults-page capacity
 
 build:
 	go build -o bin/ ./cmd/... ./testbed/cmd/...
