--- a/Makefile
+++ b/Makefile
@@ -3,10 +3,7 @@
 MODULES := ./... ./testbed/...
 TOOL := go tool -modfile=$(CURDIR)/tools/go.mod
 
-.PHONY: build bench demo test race format lint generate generated bench-rollouts
-.PHONY: build bench-latency demo test race format lint generate generated
-.PHONY: build bench demo test race faults faults-page format lint generate generated bench-rollouts
-.PHONY: build bench demo test race format lint generate generated bench-rollouts capacity
+.PHONY: build demo bench bench-rollouts bench-latency test race format lint generate generated faults faults-page capacity
 
 build:
 	go build -o bin/ ./cmd/... ./testbed/cmd/...
@@ -24,6 +21,7 @@
 # Share of good rollouts done in time and of bad ones taken back; several minutes.
 bench-rollouts:
 	go run ./testbed/cmd/benchrollouts
+
 # Latency that a node adds to a call, against the same target called directly.
 bench-latency: build
 	bin/benchlatency
@@ -58,4 +56,4 @@
 
 # Fails when the committed generated code is not what the schemas give.
 generated: generate
-	git diff --exit-code -- '*_gen.go' docs/settings.md
+	git diff --exit-code -- '*_gen.go' docs/settings.md docs/metrics.md
--- a/pkg/cli/read.go
+++ b/pkg/cli/read.go
@@ -16,6 +16,10 @@
 // watchTime is how long one call of watch waits at the node.
 const watchTime = 20 * time.Second
 
+// waitPollTime is how often wait reads the status when no change is announced: the
+// node may have failed to read it when it changed.
+const waitPollTime = 5 * time.Second
+
 type getCommand struct {
 	Args struct {
 		Kind string `positional-arg-name:"KIND" required:"yes"`
@@ -69,25 +73,27 @@
 // Execute implements flags.Commander. It ends when the context does.
 func (c *watchCommand) Execute([]string) error {
 	var known operator.WatchResult
-	for c.env.ctx.Err() == nil {
-		result, err := c.env.client().Watch(c.env.ctx, known, watchTime)
-		if err != nil {
-			return err
-		}
-		known = result
-		if !result.Changed {
-			continue
-		}
-		list, err := c.env.list(c.Args.Kind)
-		if err != nil {
-			return err
-		}
-		err = c.env.print(list)
-		if err != nil {
-			return err
-		}
+	var err error
+	for c.env.ctx.Err() == nil && err == nil {
+		known, err = c.next(known)
+	}
+	if c.env.ctx.Err() != nil {
+		return nil // interrupted by the operator
+	}
+	return err
+}
+
+// next waits for a change and prints it.
+func (c *watchCommand) next(known operator.WatchResult) (operator.WatchResult, error) {
+	result, err := c.env.client().Watch(c.env.ctx, known, watchTime)
+	if err != nil || !result.Changed {
+		return result, err
+	}
+	list, err := c.env.list(c.Args.Kind)
+	if err != nil {
+		return result, err
 	}
-	return nil
+	return result, c.env.print(list)
 }
 
 type waitCommand struct {
@@ -105,7 +111,7 @@
 	bounded.ctx = ctx
 	var known operator.WatchResult
 	for {
-		next, err := c.env.client().Watch(ctx, known, min(c.Timeout, watchTime))
+		next, err := c.env.client().Watch(ctx, known, min(c.Timeout, waitPollTime))
 		if err == nil {
 			known = next
 			var resource operator.Resource
--- a/pkg/control/controller.go
+++ b/pkg/control/controller.go
@@ -55,6 +55,7 @@
 	unusedBlobs      operator.Unused
 	blobsCollectedAt time.Time
 	factsRetainedAt  time.Time
+	probesByTarget   map[string]uint64
 	view             atomic.Pointer[view]
 	counters         Counters
 }
@@ -77,6 +78,8 @@
 		relayed:   map[string]*target.Counters{},
 		cold:      coldTargets{},
 		startedAt: now,
+
+		probesByTarget: map[string]uint64{},
 	}
 	c.blobsCollectedAt = now
 	c.factsRetainedAt = now
--- a/pkg/control/probes.go
+++ b/pkg/control/probes.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/target"
-	"github.com/fireflychute/fireflychute/pkg/transport"
 )
 
 // probeTime bounds one health check.
@@ -36,6 +36,7 @@
 	}
 	for _, probe := range c.registry.Probes(now, c.members.Counted(now), c.services()) {
 		c.counters.probes.Add(1)
+		c.probesByTarget[probe.Address]++
 		c.background(probeTime, func(ctx context.Context) event {
 			result := c.probe(ctx, probe.Address)
 			return func(now time.Time) { c.shareTargets(now, c.registry.Probed(now, result)) }
@@ -64,8 +65,8 @@
 	return target.ProbeResult{Address: address, Report: report}
 }
 
-// refused tells that the connection could not be set up.
+// refused tells that the target refused the connection. Other failures to connect
+// can be this node's own, for example too many open files.
 func refused(err error) bool {
-	var failure *transport.Error
-	return errors.As(err, &failure) && failure.Step == transport.StepDial
+	return errors.Is(err, syscall.ECONNREFUSED)
 }
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -28,13 +28,14 @@
 	c.tried = append(c.tried, chosen)
 	c.note()
 	if c.ctx.Err() != nil {
-		return !c.giveUp(time.Second, "deadline passed or caller left")
+		return !c.giveUp(time.Second, reasonDeadline)
 	}
 	header := c.outgoingHeaders()
 	span := c.startSpan(header)
 	sent := c.handler.now()
 	chosen.Counters.Sent.Add(1)
 	answer, err := c.handler.options.Client.Do(c.outgoing(header), connectionsTo(chosen))
+	c.tries[len(c.tries)-1].latency = c.handler.now().Sub(sent)
 	if err != nil {
 		span.End(0, err.Error())
 		return c.failed(err, sent)
@@ -79,6 +80,7 @@
 type try struct {
 	choice
 	failure string
+	latency time.Duration // to the answer's header or to the failure
 }
 
 func (c *choice) names() []string {
@@ -93,7 +95,10 @@
 	told := make([]explain.Try, len(tries))
 	for i := range tries {
 		t := &tries[i]
-		told[i] = explain.Try{Target: t.target.Address, Candidates: t.names(), Evidence: t.evidence, Failure: t.failure}
+		told[i] = explain.Try{
+			Target: t.target.Address, Version: t.target.Version, Candidates: t.names(), Evidence: t.evidence,
+			Failure: t.failure, LatencyMicros: t.latency.Microseconds(),
+		}
 	}
 	return told
 }
@@ -153,6 +158,7 @@
 	copyAnswerHeaders(c.w.Header(), answer)
 	c.w.WriteHeader(answer.StatusCode)
 	_ = stream(c.w, answer)
+	c.metrics.Refused(labelTarget)
 	c.conclude(answer.StatusCode, OutcomeNotRun, decision.Reason)
 	return true
 }
@@ -188,7 +194,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(bodyErr, &tooLarge):
-		return !c.fail(http.StatusRequestEntityTooLarge, 0, string(decision.Outcome), "body is larger than the kind of work allows")
+		return !c.fail(http.StatusRequestEntityTooLarge, 0, string(decision.Outcome), reasonTooLarge)
 	case decision.Outcome == retry.NotRun:
 		return !c.refuse(http.StatusServiceUnavailable, time.Second, err.Error())
 	case errors.Is(c.ctx.Err(), context.DeadlineExceeded):
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -74,7 +74,7 @@
 func (g *gate) wakeOne(others int) {
 	next, expired := g.queue.Pop(time.Now())
 	for _, ticket := range expired {
-		g.tell(ticket, notice{refusal: &admission.Refusal{Reason: "deadline passed", RetryAfter: time.Second}})
+		g.tell(ticket, notice{refusal: &admission.Refusal{Reason: admission.ReasonExpired, RetryAfter: time.Second}})
 	}
 	if next != nil {
 		g.tell(next, notice{others: others})
@@ -105,7 +105,7 @@
 		case news = <-told:
 		case <-ctx.Done():
 			g.leave(ticket)
-			return &admission.Refusal{Reason: "deadline passed or caller left", RetryAfter: time.Second}
+			return &admission.Refusal{Reason: reasonDeadline, RetryAfter: time.Second}
 		}
 		if news.refusal != nil || take() {
 			return news.refusal
--- a/pkg/proxy/handler.go
+++ b/pkg/proxy/handler.go
@@ -86,6 +86,16 @@
 // InFlight returns the number of requests that are being served.
 func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
 
+// Waiting returns how many requests wait for a unit, by service.
+func (h *Handler) Waiting() map[string]int {
+	waiting := map[string]int{}
+	h.gates.Range(func(service, value any) bool {
+		waiting[service.(string)] = int(value.(*gate).waiting.Load())
+		return true
+	})
+	return waiting
+}
+
 // Recheck lets waiting requests look for units again. It is to be called after a
 // new snapshot was published.
 func (h *Handler) Recheck() {
@@ -154,13 +164,16 @@
 	if h.draining.Load() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
-	if !c.match() {
-		return
+	body := r.Body
+	if c.match() {
+		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+		defer cancel()
+		c.ctx = ctx
+		c.serve()
+	}
+	if r.ContentLength != 0 {
+		finishBody(w, body)
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
-	defer cancel()
-	c.ctx = ctx
-	c.serve()
 }
 
 func (c *call) identify() {
@@ -175,12 +188,12 @@
 func (c *call) match() bool {
 	view := c.handler.options.Published.Load()
 	if !usable(view, c.began) {
-		return c.refuse(http.StatusServiceUnavailable, time.Second, "node has no valid configuration")
+		return c.refuse(http.StatusServiceUnavailable, time.Second, reasonNoConfiguration)
 	}
 	c.view = view
 	c.route = view.Match(c.request.Method, c.request.URL.Path)
 	if c.route == nil || c.route.Service == nil {
-		return c.refuse(http.StatusNotFound, 0, "no route")
+		return c.refuse(http.StatusNotFound, 0, reasonNoRoute)
 	}
 	c.metrics = c.handler.options.Telemetry.Route(c.route.Name)
 	c.caller = c.findCaller()
@@ -189,13 +202,13 @@
 	c.noRetry = c.request.Header.Get(HeaderNoRetry) != ""
 	switch {
 	case !ok:
-		return c.refuse(http.StatusBadRequest, 0, HeaderDepth+" is not a number")
+		return c.refuse(http.StatusBadRequest, 0, reasonBadDepth)
 	case c.depth > maxDepth:
-		return c.refuse(http.StatusServiceUnavailable, 0, "chain of calls is too deep")
+		return c.refuse(http.StatusServiceUnavailable, 0, reasonTooDeep)
 	case isUpgrade(c.request):
-		return c.refuse(http.StatusNotImplemented, 0, "upgrade and tunnels are not supported")
+		return c.refuse(http.StatusNotImplemented, 0, reasonUpgrade)
 	case c.request.ContentLength > c.maxBody():
-		return c.refuse(http.StatusRequestEntityTooLarge, 0, "body is larger than the kind of work allows")
+		return c.refuse(http.StatusRequestEntityTooLarge, 0, reasonTooLarge)
 	}
 	c.deadline = c.began.Add(readTimeout(c.request.Header, c.route.Timeout()))
 	c.gate = c.handler.gate(c.route.Service)
@@ -268,7 +281,7 @@
 		}
 	}
 	if c.chosen.target == nil {
-		return c.giveUp(time.Second, "no target")
+		return c.giveUp(time.Second, reasonNoTarget)
 	}
 	return true
 }
@@ -317,7 +330,7 @@
 	}
 	if c.handler.options.Deduplicator == nil {
 		c.gate.release(c.chosen.target)
-		return c.refuse(http.StatusServiceUnavailable, time.Second, "no record of idempotency keys")
+		return c.refuse(http.StatusServiceUnavailable, time.Second, reasonNoRecord)
 	}
 	created, err := c.handler.options.Deduplicator.CreateIfAbsent(c.ctx, c.keyName(key))
 	if err == nil && created {
@@ -326,7 +339,7 @@
 	}
 	c.gate.release(c.chosen.target)
 	if err != nil {
-		return c.refuse(http.StatusServiceUnavailable, time.Second, "idempotency key could not be recorded; use a new key")
+		return c.refuse(http.StatusServiceUnavailable, time.Second, reasonNotRecorded)
 	}
 	return c.fail(http.StatusConflict, 0, OutcomeUnknown, "idempotency key was used before")
 }
@@ -351,7 +364,10 @@
 }
 
 func (c *call) refuse(status int, after time.Duration, reason string) bool {
-	c.metrics.Count(telemetry.Refusals)
+	if c.metrics == nil {
+		c.metrics = c.handler.options.Telemetry.Route("")
+	}
+	c.metrics.Refused(refusalLabel(reason))
 	return c.fail(status, after, OutcomeNotRun, reason)
 }
 
@@ -360,8 +376,15 @@
 	if after > 0 {
 		c.w.Header().Set("Retry-After", strconv.Itoa(int((after+time.Second-1)/time.Second)))
 	}
-	c.w.Header().Set(HeaderOutcome, outcome)
-	http.Error(c.w, reason, status)
+	header := c.w.Header()
+	header.Set(HeaderOutcome, outcome)
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set("X-Content-Type-Options", "nosniff")
+	// With a length the answer is complete when it is flushed, before the rest of
+	// the request's body is read.
+	header.Set("Content-Length", strconv.Itoa(len(reason)+1))
+	c.w.WriteHeader(status)
+	_, _ = fmt.Fprintln(c.w, reason)
 	c.conclude(status, outcome, reason)
 	return false
 }
--- a/pkg/proxy/handler_test.go
+++ b/pkg/proxy/handler_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -21,6 +23,7 @@
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
 	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/telemetry"
 )
 
 // Guards (P5) against an answer cut short at the target reaching the caller as complete.
@@ -463,6 +466,52 @@
 	g.Expect(b.options.Explain.Find(answer.Header().Get(HeaderRequestID))).To(HaveLen(1))
 }
 
+// Guards against a refusal of a request with an unread body that breaks the
+// connection or is logged as a panic of the server.
+func TestRefusedBodyKeepsTheConnection(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(t, api.WorkKindSpec{})
+	var logged bytes.Buffer
+	server := httptest.NewUnstartedServer(b.Handler)
+	server.Config.ErrorLog = log.New(&logged, "", 0)
+	server.Start()
+	connection, err := net.Dial("tcp", server.Listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	for range 20 {
+		_, err = io.WriteString(connection, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello")
+		g.Expect(err).NotTo(HaveOccurred())
+		answer, err := http.ReadResponse(reader, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, answer.Body)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(answer.ContentLength).To(BeNumerically(">", 0))
+	}
+	server.Close()
+	g.Expect(logged.String()).To(BeEmpty())
+}
+
+// Guards against refusals that are counted without their reason, or not at all when
+// there is no route.
+func TestRefusalsAreCountedByReason(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(t, api.WorkKindSpec{})
+	metrics, err := telemetry.New(t.Context(), telemetry.Options{})
+	g.Expect(err).NotTo(HaveOccurred())
+	b.options.Telemetry = metrics
+	_, _, err = b.call(t.Context(), http.MethodGet, "")
+	g.Expect(err).NotTo(HaveOccurred())
+	b.route.Spec.Methods = []string{http.MethodPut}
+	_, _, err = b.call(t.Context(), http.MethodGet, "")
+	g.Expect(err).NotTo(HaveOccurred())
+	page := httptest.NewRecorder()
+	metrics.Handler().ServeHTTP(page, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	g.Expect(page.Body.String()).To(MatchRegexp(`refusals_total\{.*reason="no_target",route="r"\} 1`))
+	g.Expect(page.Body.String()).To(MatchRegexp(`refusals_total\{.*reason="no_route",route=""\} 1`))
+}
+
 // Guards against a request past its deadline being reported as not run or retried.
 func TestDeadlineAtTargetIsUnknown(t *testing.T) {
 	g := NewWithT(t)
