Keep idle versions without calls, forget latencies wholly, apply peer limits

A rollout can now be deleted only when its idle version has no live targets. Ruled out: to remember the block without a declaration, which nobody could see or undo. 2. The latency of an idle target shrank to the service's reference only; in a fleet three times faster one target got no call for 40 s. 3. peers.limits was read and documented, but not applied. 4. Taking out the data centres of all nodes made every node not ready.

--- a/pkg/control/backend.go
+++ b/pkg/control/backend.go
@@ -159,7 +159,8 @@
 	for _, problem := range datacentre.CheckCapacity(current, proposed, b.controller.view.Load().loads) {
 		found = append(found, operator.CapacityProblem{Service: problem.Service, Reason: problem.Message, Refuse: problem.Refuse})
 	}
-	return found
+	found = append(found, b.versionProblems(current, proposed)...)
+	return append(found, b.nodeProblems(current, proposed)...)
 }
 
 // Changed implements operator.Backend.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -81,7 +81,11 @@
 		client: peer.NewClient(config.Node.Name, peerClient),
 	}
 	n.join()
-	n.peers, err = peer.Listen(config.Peers.Listen, peerServer, n.controller.Deliver)
+	limits := peer.Limits{
+		IdleTime:       milliseconds(config.Peers.Limits.IdleTimeMs),
+		MaxConnections: config.Peers.Limits.MaxConnections,
+	}
+	n.peers, err = peer.ListenWithLimits(config.Peers.Listen, peerServer, limits, n.controller.Deliver)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/operator/commit.go
+++ b/pkg/operator/commit.go
@@ -163,7 +163,7 @@
 		p.outcome.Warnings = append(p.outcome.Warnings, problem)
 	}
 	if len(refusals) > 0 {
-		return &Error{status: http.StatusUnprocessableEntity, Code: CodeCapacity, Message: "the remaining targets lack room for the present load", Capacity: refusals}
+		return &Error{status: http.StatusUnprocessableEntity, Code: CodeCapacity, Message: "the change is refused because of its effect on traffic", Capacity: refusals}
 	}
 	return nil
 }
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -14,20 +14,30 @@
 const (
 	// handshakeTimeout bounds how long an unauthenticated connection is kept.
 	handshakeTimeout = 5 * time.Second
-	// idleTimeout ends a connection without frames. Members ping each other more
-	// often than this in fleets of up to 150 nodes; larger ones reconnect.
-	idleTimeout = 2 * time.Minute
 	// frameTimeout is the time for the rest of a frame once its first byte arrived.
 	frameTimeout = 10 * time.Second
 	writeTimeout = 10 * time.Second
-	// maxConnections bounds goroutines and buffers; it is above the largest fleet.
-	maxConnections = 1024
 )
 
+// Limits bounds what the connections of a server cost.
+type Limits struct {
+	// IdleTime is the time after which a connection without frames ends.
+	IdleTime time.Duration
+	// MaxConnections is the number of connections accepted at the same time.
+	MaxConnections int
+}
+
+// DefaultLimits suit fleets of up to 150 nodes: members ping each other more often
+// than the idle time, and the connections are more than the largest fleet has.
+func DefaultLimits() Limits {
+	return Limits{IdleTime: 2 * time.Minute, MaxConnections: 1024}
+}
+
 // Server receives messages.
 type Server struct {
 	listener    net.Listener
 	tls         *tls.Config
+	limits      Limits
 	handle      func(from string, message Message) *Message
 	mu          sync.Mutex
 	connections map[net.Conn]bool
@@ -41,11 +51,16 @@
 // TLS configuration whose ClientAuth is tls.RequireAndVerifyClientCert, a peer
 // without an accepted certificate is refused before any frame is read.
 func Listen(address string, config *tls.Config, handle func(from string, message Message) *Message) (*Server, error) {
+	return ListenWithLimits(address, config, DefaultLimits(), handle)
+}
+
+// ListenWithLimits is Listen with other limits than the default.
+func ListenWithLimits(address string, config *tls.Config, limits Limits, handle func(from string, message Message) *Message) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, failed("listen", address, err)
 	}
-	s := &Server{listener: listener, tls: config, handle: handle, connections: map[net.Conn]bool{}}
+	s := &Server{listener: listener, tls: config, limits: limits, handle: handle, connections: map[net.Conn]bool{}}
 	s.done.Add(1)
 	go s.accept()
 	return s, nil
@@ -97,7 +112,7 @@
 func (s *Server) add(connection net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || len(s.connections) >= maxConnections {
+	if s.closed || len(s.connections) >= s.limits.MaxConnections {
 		return false
 	}
 	s.connections[connection] = true
@@ -131,7 +146,7 @@
 
 // exchange reads one frame, handles it and writes the answer.
 func (s *Server) exchange(connection net.Conn, reader *bufio.Reader) error {
-	received, err := readNext(connection, reader)
+	received, err := readNext(connection, reader, s.limits.IdleTime)
 	if err != nil {
 		return err
 	}
@@ -154,9 +169,9 @@
 	return err
 }
 
-// readNext waits for a frame up to idleTimeout.
-func readNext(connection net.Conn, reader *bufio.Reader) (Message, error) {
-	if err := connection.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+// readNext waits for a frame up to the idle time.
+func readNext(connection net.Conn, reader *bufio.Reader, idle time.Duration) (Message, error) {
+	if err := connection.SetReadDeadline(time.Now().Add(idle)); err != nil {
 		return Message{}, err
 	}
 	if _, err := reader.Peek(1); err != nil {
--- a/pkg/target/collect.go
+++ b/pkg/target/collect.go
@@ -9,8 +9,10 @@
 )
 
 // forgetLatency is the divisor of the part by which, at each collection, the
-// average latency of a target without traffic returns to the reference. A target
-// that is avoided for its latency is thereby tried again after some seconds.
+// average latency of a target without traffic shrinks. A target that is avoided for
+// its latency is thereby tried again after some seconds. It shrinks to nothing and
+// not to the service's reference, because a fleet that is much faster than the
+// reference would go on avoiding the target.
 const forgetLatency = 64
 
 // Collect reads the counters, steps the ramps and returns the facts that changed
@@ -63,7 +65,7 @@
 	}
 	window.Total = s.servedInAll()
 	if window.Well+window.Slow+window.Failed == 0 && c.InFlight.Load() == 0 {
-		s.forgetLatency(spec)
+		s.forgetLatency()
 	}
 	s.skipCarried(&window)
 	return window
@@ -94,12 +96,9 @@
 	s.carried -= skipped
 }
 
-func (s *state) forgetLatency(spec api.ServiceSpec) {
+func (s *state) forgetLatency() {
 	old := s.counters.LatencyMicros.Load()
-	reference := int64(spec.ReferenceLatencyMs) * time.Millisecond.Microseconds()
-	if old > reference {
-		s.counters.LatencyMicros.CompareAndSwap(old, old-(old-reference)/forgetLatency)
-	}
+	s.counters.LatencyMicros.CompareAndSwap(old, old-old/forgetLatency)
 }
 
 func (s *state) step(window ramp.Window, owner bool) {
--- a/testbed/fleet/moves_test.go
+++ b/testbed/fleet/moves_test.go
@@ -213,3 +213,33 @@
 		g.Expect(anyTarget(f, same)).To(BeFalse(), "an old list brought the target back")
 	})
 }
+
+// Guards against a version that was taken back and receives calls again (P4)
+// because its rollout was deleted.
+func TestRolloutOfLiveBadVersionCannotBeDeleted(t *testing.T) {
+	inFleet(t, 3, func(g *WithT, f *fleet.Fleet) {
+		request := rollout(time.Now().Add(time.Minute))
+		code, _ := f.Nodes[0].Apply(request)
+		g.Expect(code).To(Equal(200))
+		time.Sleep(leaveLimit)
+		remove := operator.ApplyRequest{Delete: []string{api.KindRollout + "/labels-v2"}}
+		code, _ = f.Nodes[0].Apply(remove)
+		g.Expect(code).To(Equal(422))
+		retired := fleet.Targets(service, newTest, 100, 6)
+		for i := range retired {
+			retired[i].State = api.VMStateLeaving
+		}
+		f.ListVMs(append(fleet.Targets(service, "v1", 0, 12), retired...))
+		time.Sleep(leaveLimit)
+		code, _ = f.Nodes[0].Apply(remove)
+		g.Expect(code).To(Equal(200))
+	})
+}
+
+// Guards against a change after which no node is ready.
+func TestDataCentresOfAllNodesCannotBeTakenOut(t *testing.T) {
+	inFleet(t, 1, func(g *WithT, f *fleet.Fleet) {
+		code, _ := f.Nodes[0].Apply(moveDataCentre(f.Nodes[0].DataCentre, api.DataCentreStateOut))
+		g.Expect(code).To(Equal(422))
+	})
+}
