Encode the list of VMs once per change, not per peer

Cause: all nodes fetch the list from the node that announces it, and it encoded the whole list on its control goroutine for each of them: 1 ms each with 1,500 targets, 60 ms at a stretch in a fleet of 60.

--- a/pkg/control/controller.go
+++ b/pkg/control/controller.go
@@ -30,11 +30,13 @@
 	config   *configuration.Store
 	set      *configuration.Set
 	vms      api.VMList
-	leases   leases
-	sync     syncState
-	rollouts rollouts
-	moves    moves
-	duty     duty
+	// vmsEncoded is vms for peers; nil until one asks.
+	vmsEncoded []byte
+	leases     leases
+	sync       syncState
+	rollouts   rollouts
+	moves      moves
+	duty       duty
 
 	startedAt       time.Time
 	platformHeardAt time.Time
--- a/pkg/control/vms.go
+++ b/pkg/control/vms.go
@@ -18,6 +18,7 @@
 		return
 	}
 	c.vms = list
+	c.vmsEncoded = nil
 	c.dirty = true
 	c.noteTargets(c.registry.ApplyList(now, list))
 	c.members.ListedNodes(now, nodeAddresses(list))
@@ -74,11 +75,15 @@
 	})
 }
 
-// vmAnswer answers a peer with the present list.
+// vmAnswer answers a peer with the present list. It is encoded once, because all
+// nodes may ask the node that announced it.
 func (c *Controller) vmAnswer() *message.Message {
-	list, err := json.Marshal(c.vms)
-	if err != nil {
-		return nil
+	if c.vmsEncoded == nil {
+		list, err := json.Marshal(c.vms)
+		if err != nil {
+			return nil
+		}
+		c.vmsEncoded = list
 	}
-	return &message.Message{VmAnswer: &message.VmAnswer{List: list}}
+	return &message.Message{VmAnswer: &message.VmAnswer{List: c.vmsEncoded}}
 }
