--- a/pkg/control/controller.go
+++ b/pkg/control/controller.go
@@ -30,18 +30,22 @@
 	config   *configuration.Store
 	set      *configuration.Set
 	vms      api.VMList
-	leases   leases
-	sync     syncState
-	rollouts rollouts
-	moves    moves
-	duty     duty
+	// vmsEncoded is vms for peers; nil until one asks.
+	vmsEncoded []byte
+	leases     leases
+	sync       syncState
+	rollouts   rollouts
+	moves      moves
+	duty       duty
 
 	startedAt       time.Time
 	platformHeardAt time.Time
 	lastEvidence    time.Time
 	lastReport      time.Time
-	reports         uint64 // sent to the controller
-	dirty           bool
+	reports         uint64    // sent to the controller
+	dirty           bool      // a new snapshot is due at once
+	targetsDirty    bool      // a new snapshot is due after publishInterval
+	publishedAt     time.Time // of the last snapshot
 	joined          bool
 	counted         []string
 	ranks           map[string]int      // of this node, by target address
@@ -77,6 +81,7 @@
 		totals:    map[string]int{},
 		relayed:   map[string]*target.Counters{},
 		cold:      coldTargets{},
+		sync:      syncState{blobs: map[string][]byte{}},
 		startedAt: now,
 
 		probesByTarget: map[string]uint64{},
