--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 bench:
 	go run ./testbed/cmd/bench
 
-# How costs grow with the fleet, the targets and the configuration; under 4 minutes.
+# How costs grow with the fleet, the targets and the configuration; just under 4 minutes.
 capacity:
 	go run ./testbed/cmd/capacity
 
