Forget the kept fleet when a member is found gone between two ticks

Cause: the counted fleet is kept until it changes, and a member that a peer reported as failed and that the list had dropped was marked as gone at the next tick without clearing it; the node then divided limits by one node too many.

Before: TestKeptFleetForgetsMembersThatAreGone counts 3; after: 2.

--- a/pkg/membership/count.go
+++ b/pkg/membership/count.go
@@ -71,8 +71,9 @@
 // list may drop a node before the node is found to have failed.
 func (m *Machine) confirmGone() {
 	for _, e := range m.members {
-		if e.State == Failed && e.everListed && !m.listed[e.Address] {
+		if e.State == Failed && e.everListed && !m.listed[e.Address] && !e.gone {
 			e.gone = true
+			m.counted = nil
 		}
 	}
 }
--- a/pkg/membership/model_test.go
+++ b/pkg/membership/model_test.go
@@ -129,3 +129,20 @@
 	f.run(10*time.Second, nil)
 	g.Expect(f.nodes["node-000"].Counted(f.now)).To(HaveLen(2))
 }
+
+// Guards against a kept fleet that still counts a member after it was found gone.
+func TestKeptFleetForgetsMembersThatAreGone(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(3, 1)
+	f.run(10*time.Second, nil)
+	f.listing = false
+	delete(f.nodes, "node-002")
+	f.list()
+	node := f.nodes["node-000"]
+	// The failure is learned from a peer, between two ticks.
+	gone := Member{Name: "node-002", Address: "node-002", DataCentre: "north", Incarnation: 3, State: Failed}
+	node.merge(gone)
+	g.Expect(node.Counted(f.now)).To(HaveLen(3))
+	node.Tick(f.now.Add(step))
+	g.Expect(node.Counted(f.now)).To(HaveLen(2))
+}
