--- a/pkg/peer/tls_test.go
+++ b/pkg/peer/tls_test.go
@@ -16,8 +16,14 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/fireflychute/fireflychute/pkg/settings"
+	"github.com/fireflychute/fireflychute/pkg/tlsconfig"
 )
 
+// reloadTime is longer than certificates are used before the files are looked at again.
+const reloadTime = 10 * time.Second
+
 // Guards against peers that show no certificate or one of another authority, and
 // against a node that must be restarted to use renewed certificates.
 func TestMutualTLSRefusesOthersAndReloads(t *testing.T) {
@@ -25,10 +31,11 @@
 	files, other := newFiles(t), newFiles(t)
 	later := atomic.Int64{}
 	now := func() time.Time { return time.Unix(0, later.Load()) }
-	serverTLS, clientTLS, err := mutualTLS(files, now)
+	own, err := tlsconfig.NewSource(files, now)
 	g.Expect(err).NotTo(HaveOccurred())
-	_, otherTLS, err := MutualTLS(other)
+	foreign, err := tlsconfig.NewSource(other, now)
 	g.Expect(err).NotTo(HaveOccurred())
+	serverTLS, clientTLS, otherTLS := own.Server(), own.Client(), foreign.Client()
 	server, err := Listen("127.0.0.1:0", serverTLS, answerWithRevision)
 	g.Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = server.Close() }()
@@ -47,11 +54,11 @@
 
 	copyFiles(t, other, files)
 	g.Expect(callOnce(server, otherTLS)).NotTo(Succeed(), "not yet reloaded")
-	later.Store(int64(reloadInterval))
+	later.Store(int64(reloadTime))
 	g.Expect(callOnce(server, otherTLS)).To(Succeed(), "reloaded server")
 	g.Expect(callOnce(server, clientTLS)).To(Succeed(), "reloaded client")
 	g.Expect(os.Remove(files.Key)).To(Succeed())
-	later.Store(int64(2 * reloadInterval))
+	later.Store(int64(2 * reloadTime))
 	g.Expect(callOnce(server, clientTLS)).To(Succeed(), "unreadable files keep the previous ones")
 }
 
@@ -63,7 +70,7 @@
 }
 
 // newFiles writes a certificate that is its own authority.
-func newFiles(t *testing.T) Files {
+func newFiles(t *testing.T) settings.TLS {
 	g := NewWithT(t)
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -76,9 +83,11 @@
 	encodedKey, err := x509.MarshalPKCS8PrivateKey(key)
 	g.Expect(err).NotTo(HaveOccurred())
 	directory := t.TempDir()
-	files := Files{filepath.Join(directory, "cert"), filepath.Join(directory, "key"), filepath.Join(directory, "authority")}
-	writePEM(t, files.Certificate, "CERTIFICATE", certificate)
-	writePEM(t, files.Authority, "CERTIFICATE", certificate)
+	files := settings.TLS{
+		Cert: filepath.Join(directory, "cert"), Key: filepath.Join(directory, "key"), CA: filepath.Join(directory, "authority"),
+	}
+	writePEM(t, files.Cert, "CERTIFICATE", certificate)
+	writePEM(t, files.CA, "CERTIFICATE", certificate)
 	writePEM(t, files.Key, "PRIVATE KEY", encodedKey)
 	return files
 }
@@ -88,9 +97,9 @@
 	NewWithT(t).Expect(os.WriteFile(path, encoded, 0o600)).To(Succeed())
 }
 
-func copyFiles(t *testing.T, from, to Files) {
+func copyFiles(t *testing.T, from, to settings.TLS) {
 	g := NewWithT(t)
-	for source, target := range map[string]string{from.Certificate: to.Certificate, from.Key: to.Key, from.Authority: to.Authority} {
+	for source, target := range map[string]string{from.Cert: to.Cert, from.Key: to.Key, from.CA: to.CA} {
 		content, err := os.ReadFile(source)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(os.WriteFile(target, content, 0o600)).To(Succeed())
