--- /dev/null
+++ b/pkg/control/fetch.go
@@ -0,0 +1,184 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/configuration"
+	"github.com/fireflychute/fireflychute/pkg/membership"
+	"github.com/fireflychute/fireflychute/pkg/message"
+	"github.com/fireflychute/fireflychute/pkg/platform"
+)
+
+// readPlatform reads the manifest and the list of VMs once.
+func (c *Controller) readPlatform(now time.Time) {
+	c.sync.readAt = now
+	c.sync.reading = true
+	c.background(platformCallTime, func(ctx context.Context) event {
+		object, err := c.options.Store.Get(ctx, platform.KindManifest, platform.ManifestName)
+		return func(now time.Time) {
+			c.sync.reading = false
+			if errors.Is(err, platform.ErrNotFound) {
+				c.heardPlatform(now, nil)
+				return
+			}
+			c.heardPlatform(now, err)
+			if err == nil {
+				c.sync.announced(object.Version, "")
+			}
+		}
+	})
+	c.background(platformCallTime, func(ctx context.Context) event {
+		list, err := c.options.Store.VMs(ctx, 0)
+		return func(now time.Time) {
+			c.heardPlatform(now, err)
+			if err == nil {
+				c.acceptVMs(now, list)
+			}
+		}
+	})
+}
+
+// fetchConfig asks a peer that has the wanted revision, and the platform when
+// peers failed.
+func (c *Controller) fetchConfig(now time.Time) {
+	peer := c.peerFor(c.sync.config)
+	if peer == "" {
+		c.loadConfig(now)
+		return
+	}
+	have := c.revision()
+	c.background(peerCallTime, func(ctx context.Context) event {
+		answer, err := c.options.Peers.Call(ctx, peer, message.Message{ConfigFetch: &message.ConfigFetch{Have: have}})
+		return func(now time.Time) {
+			c.sync.config.busy = false
+			if err == nil && answer.ConfigDelta != nil {
+				c.acceptDelta(now, *answer.ConfigDelta)
+			}
+		}
+	})
+}
+
+// peerFor returns the address of a node to fetch from, or "" for the platform.
+// A random node that has the revision spreads the load of a change over all.
+func (c *Controller) peerFor(d document) string {
+	if d.asksPlatform() {
+		return ""
+	}
+	if d.attempts > 1 {
+		return c.randomPeer(d.wanted)
+	}
+	if d.announcer == c.options.Self.Address {
+		return ""
+	}
+	return d.announcer
+}
+
+func (c *Controller) randomPeer(revision uint64) string {
+	found := []string{}
+	for _, member := range c.members.Members() {
+		if member.Name != c.options.Self.Name && member.State == membership.Alive && member.Revision >= revision {
+			found = append(found, member.Address)
+		}
+	}
+	if len(found) == 0 {
+		return ""
+	}
+	return found[c.options.Random.IntN(len(found))]
+}
+
+// loadConfig reads the manifest and the missing blobs from the platform.
+func (c *Controller) loadConfig(time.Time) {
+	c.background(platformCallTime, func(ctx context.Context) event {
+		object, err := c.options.Store.Get(ctx, platform.KindManifest, platform.ManifestName)
+		return func(now time.Time) {
+			c.heardPlatform(now, err)
+			if err != nil {
+				c.sync.config.busy = false
+				return
+			}
+			c.loadBlobs(object)
+		}
+	})
+}
+
+// loadBlobs reads the blobs of a manifest that the node does not hold yet.
+func (c *Controller) loadBlobs(object platform.Object) {
+	var manifest api.Manifest
+	err := json.Unmarshal(object.Value, &manifest)
+	if err != nil || object.Version <= c.revision() {
+		c.sync.config.busy = false
+		return
+	}
+	missing := []string{}
+	for _, digest := range c.config.Missing(manifest) {
+		if c.sync.blobs[digest] == nil {
+			missing = append(missing, digest)
+		}
+	}
+	c.background(platformCallTime, func(ctx context.Context) event {
+		blobs, err := readBlobs(ctx, c.options.Store, missing)
+		return func(now time.Time) {
+			c.counters.platformCalls.Add(uint64(len(missing)))
+			c.heardPlatform(now, err)
+			c.sync.config.busy = false
+			maps.Copy(c.sync.blobs, blobs)
+			if err != nil {
+				return
+			}
+			set, err := c.config.Accept(object.Version, manifest, c.sync.blobs)
+			clear(c.sync.blobs)
+			c.applySet(now, set, err, true)
+		}
+	})
+}
+
+// readBlobs returns the blobs that were read before the first error.
+func readBlobs(ctx context.Context, store platform.Store, digests []string) (map[string][]byte, error) {
+	blobs := map[string][]byte{}
+	for _, digest := range digests {
+		object, err := store.Get(ctx, platform.KindBlob, digest)
+		if err != nil {
+			return blobs, errors.Wrapf(err, "read blob %s", digest)
+		}
+		blobs[digest] = object.Value
+	}
+	return blobs, nil
+}
+
+func (c *Controller) acceptDelta(now time.Time, delta message.ConfigDelta) {
+	set, err := c.config.ApplyDelta(delta)
+	c.applySet(now, set, err, false)
+}
+
+// applySet puts a newer configuration in force. announce tells the peers.
+func (c *Controller) applySet(now time.Time, set *configuration.Set, err error, announce bool) {
+	if err != nil {
+		c.options.Log.Warn().Err(err).Msg("configuration not usable")
+		return
+	}
+	if set == nil || set.Revision <= c.revision() {
+		return
+	}
+	clear(c.sync.blobs)
+	c.resetReturned(now, set)
+	c.set = set
+	c.dirty = true
+	c.members.SetRevision(set.Revision)
+	c.sync.announced(set.Revision, "")
+	c.options.Log.Info().Uint64("revision", set.Revision).Msg("configuration applied")
+	if announce {
+		c.share(now, membership.Fact{Key: factConfig, Epoch: set.Revision, Version: firstFactNumber, Value: []byte(c.options.Self.Address)})
+	}
+}
+
+// configDelta answers a peer that has an older revision.
+func (c *Controller) configDelta(have uint64) *message.Message {
+	delta := c.config.Delta(have)
+	return &message.Message{ConfigDelta: &delta}
+}
