Name the reconciling of statuses and the publishing of facts by their usual terms

duty became statuses and reconcile, and share, which was also the name of a package, became publishFact. Records of forgotten targets are dropped.

--- a/pkg/control/controller.go
+++ b/pkg/control/controller.go
@@ -36,7 +36,7 @@
 	sync       syncState
 	rollouts   rollouts
 	moves      moves
-	duty       duty
+	statuses   statuses
 
 	startedAt       time.Time
 	platformHeardAt time.Time
@@ -134,7 +134,7 @@
 	if now.Sub(c.lastReport) >= reportTime {
 		c.lastReport = now
 		c.report(now)
-		c.stepDuty(now)
+		c.reconcile(now)
 	}
 }
 
--- a/pkg/control/facts.go
+++ b/pkg/control/facts.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// share publishes a fact and takes it in as if a peer had sent it.
-func (c *Controller) share(now time.Time, fact membership.Fact) {
+// publishFact publishes a fact and takes it in as if a peer had sent it.
+func (c *Controller) publishFact(now time.Time, fact membership.Fact) {
 	c.send(c.members.Publish(fact))
 	c.takeFacts(now)
 }
@@ -101,7 +101,7 @@
 func (c *Controller) shareTargets(now time.Time, facts []target.Fact) {
 	for _, fact := range facts {
 		c.targetsDirty = true
-		c.share(now, membership.Fact{
+		c.publishFact(now, membership.Fact{
 			Key: membership.TargetPrefix + fact.Key, Epoch: fact.Epoch, Version: fact.Version, Value: fact.Value,
 		})
 	}
@@ -151,6 +151,8 @@
 		c.targetsDirty = true
 		if change.Kind == target.Forgotten {
 			delete(c.probesByTarget, change.Address)
+			delete(c.totals, change.Address)
+			delete(c.cold, change.Address)
 		}
 		if change.Kind == target.Left || change.Kind == target.Returned {
 			c.options.Log.Info().Str("target", change.Address).Str("reason", string(change.Reason)).
--- a/pkg/control/fetch.go
+++ b/pkg/control/fetch.go
@@ -173,7 +173,7 @@
 	c.sync.announced(set.Revision, "")
 	c.options.Log.Info().Uint64("revision", set.Revision).Msg("configuration applied")
 	if announce {
-		c.share(now, membership.Fact{Key: factConfig, Epoch: set.Revision, Version: firstFactNumber, Value: []byte(c.options.Self.Address)})
+		c.publishFact(now, membership.Fact{Key: factConfig, Epoch: set.Revision, Version: firstFactNumber, Value: []byte(c.options.Self.Address)})
 	}
 }
 
--- a/pkg/control/fleet.go
+++ b/pkg/control/fleet.go
@@ -20,7 +20,7 @@
 
 // fleetStatus describes the nodes and whether each applied the configuration.
 func (c *Controller) fleetStatus(now time.Time) api.FleetStatus {
-	status := api.FleetStatus{Epoch: int(c.duty.epoch), Revision: int(c.revision()), Nodes: c.nodeStatuses()}
+	status := api.FleetStatus{Epoch: int(c.statuses.epoch), Revision: int(c.revision()), Nodes: c.nodeStatuses()}
 	applied, behind, unreachable := 0, 0, 0
 	counted := c.members.Counted(now)
 	for _, node := range status.Nodes {
@@ -51,7 +51,7 @@
 
 // transitionTime keeps the time of the last status when the status is the same.
 func (c *Controller) transitionTime(now time.Time, condition api.Condition) time.Time {
-	for _, old := range c.duty.fleet.status.Conditions {
+	for _, old := range c.statuses.fleet.status.Conditions {
 		if old.Type == condition.Type && old.Status == condition.Status {
 			return old.LastTransitionTime
 		}
--- a/pkg/control/leases.go
+++ b/pkg/control/leases.go
@@ -146,7 +146,7 @@
 	}
 	held.epoch = epoch
 	c.options.Log.Info().Str("lease", held.name).Uint64("epoch", fact.Epoch).Bool("held", ok).Msg("lease changed")
-	c.share(now, fact)
+	c.publishFact(now, fact)
 }
 
 // holderResponds tells that the holder that gossip names is alive. Other nodes
@@ -223,7 +223,7 @@
 		if err == nil && step.Action == lease.Write {
 			_, _ = put(ctx, c.options.Store, platform.KindLease, name, value, step.IfVersion)
 		}
-		c.share(time.Now(), membership.Fact{Key: prefixLease + name, Epoch: held.epoch, Version: firstFactNumber + 1})
+		c.publishFact(time.Now(), membership.Fact{Key: prefixLease + name, Epoch: held.epoch, Version: firstFactNumber + 1})
 	}
 }
 
--- a/pkg/control/moves.go
+++ b/pkg/control/moves.go
@@ -117,10 +117,10 @@
 // stepDataCentres computes the next status of each data centre and stores what changed.
 func (c *Controller) stepDataCentres(now time.Time) {
 	for name, spec := range c.set.DataCentres {
-		entry := c.duty.dataCentres[name]
+		entry := c.statuses.dataCentres[name]
 		if entry == nil {
 			entry = &stored[api.DataCentreStatus]{}
-			c.duty.dataCentres[name] = entry
+			c.statuses.dataCentres[name] = entry
 		}
 		if entry.busy {
 			continue
@@ -128,7 +128,7 @@
 		generation := c.set.Generations[api.KindDataCentre+"/"+name]
 		observed := c.observeDataCentre(now, name)
 		observed.Unsettled = c.moves.unsettled(calmKey{name, generation}, observed)
-		next, changed := datacentre.Next(now, c.options.Self.Name, int(c.duty.epoch), spec, generation, entry.status, observed)
+		next, changed := datacentre.Next(now, c.options.Self.Name, int(c.statuses.epoch), spec, generation, entry.status, observed)
 		if !changed {
 			continue
 		}
--- a/pkg/control/duty.go
+++ b/pkg/control/reconcile.go
@@ -30,9 +30,9 @@
 	busy    bool
 }
 
-// duty is what the holder of the controller lease knows of the statuses. It is
+// statuses is what the holder of the controller lease knows of the statuses. It is
 // read from the platform at each take-over and after each failed write.
-type duty struct {
+type statuses struct {
 	epoch       uint64
 	loaded      bool
 	loading     bool
@@ -41,17 +41,17 @@
 	fleet       stored[api.FleetStatus]
 }
 
-// stepDuty does the controller's work if this node holds the lease.
-func (c *Controller) stepDuty(now time.Time) {
+// reconcile does the controller's work if this node holds the lease.
+func (c *Controller) reconcile(now time.Time) {
 	epoch, held := c.controllerEpoch(now)
 	if !held || c.set == nil {
-		c.duty = duty{}
+		c.statuses = statuses{}
 		return
 	}
-	if c.duty.epoch != epoch {
-		c.duty = duty{epoch: epoch}
+	if c.statuses.epoch != epoch {
+		c.statuses = statuses{epoch: epoch}
 	}
-	if !c.duty.loaded {
+	if !c.statuses.loaded {
 		c.loadStatuses()
 		return
 	}
@@ -65,32 +65,32 @@
 // loadStatuses reads all statuses. Writes that follow are conditional on the
 // versions read here, which fences a holder whose lease lapsed.
 func (c *Controller) loadStatuses() {
-	if c.duty.loading {
+	if c.statuses.loading {
 		return
 	}
-	c.duty.loading = true
-	epoch := c.duty.epoch
+	c.statuses.loading = true
+	epoch := c.statuses.epoch
 	c.background(platformCallTime, func(ctx context.Context) event {
 		fresh, err := readStatuses(ctx, c.options.Store)
 		return func(now time.Time) {
 			c.heardPlatform(now, err)
-			if c.duty.epoch != epoch {
+			if c.statuses.epoch != epoch {
 				return
 			}
-			c.duty.loading = false
+			c.statuses.loading = false
 			if err != nil {
 				return
 			}
 			fresh.epoch = epoch
 			fresh.loaded = true
-			c.duty = fresh
+			c.statuses = fresh
 			c.announceRollouts(now)
 		}
 	})
 }
 
-func readStatuses(ctx context.Context, store platform.Store) (duty, error) {
-	var fresh duty
+func readStatuses(ctx context.Context, store platform.Store) (statuses, error) {
+	var fresh statuses
 	var err error
 	fresh.rollouts, err = readAll[api.RolloutStatus](ctx, store, platform.KindRolloutStatus)
 	if err != nil {
@@ -136,18 +136,18 @@
 		return
 	}
 	entry.busy = true
-	epoch := c.duty.epoch
+	epoch := c.statuses.epoch
 	ifVersion := entry.version
 	c.background(platformCallTime, func(ctx context.Context) event {
 		version, err := put(ctx, c.options.Store, kind, name, value, ifVersion)
 		return func(now time.Time) {
 			c.heardPlatform(now, ignoreConflict(err))
 			entry.busy = false
-			if c.duty.epoch != epoch {
+			if c.statuses.epoch != epoch {
 				return
 			}
 			if err != nil {
-				c.duty.loaded = false
+				c.statuses.loaded = false
 				return
 			}
 			entry.status = next
@@ -161,8 +161,8 @@
 // announceStatus tells all nodes that a status changed, so that they read it when
 // an operator asks.
 func (c *Controller) announceStatus(now time.Time, kind, name string, version uint64) {
-	c.share(now, membership.Fact{
-		Key: prefixStatus + kind + "/" + name, Epoch: c.duty.epoch, Version: version, Value: []byte(strconv.FormatUint(version, 10)),
+	c.publishFact(now, membership.Fact{
+		Key: prefixStatus + kind + "/" + name, Epoch: c.statuses.epoch, Version: version, Value: []byte(strconv.FormatUint(version, 10)),
 	})
 }
 
@@ -175,7 +175,7 @@
 
 // stepFleet reports where the configuration is in force.
 func (c *Controller) stepFleet(now time.Time) {
-	entry := &c.duty.fleet
+	entry := &c.statuses.fleet
 	next := c.fleetStatus(now)
 	if entry.busy || sameFleet(entry.status, next) {
 		return
--- a/pkg/control/report.go
+++ b/pkg/control/report.go
@@ -16,7 +16,7 @@
 		return
 	}
 	report := c.nodeReport()
-	if c.duty.epoch > 0 {
+	if c.statuses.epoch > 0 {
 		c.takeReport(now, report)
 		return
 	}
@@ -78,7 +78,7 @@
 
 // takeReport collects a node's report while this node is the controller.
 func (c *Controller) takeReport(now time.Time, report message.NodeReport) {
-	if c.duty.epoch == 0 || c.moves.repeated(report) {
+	if c.statuses.epoch == 0 || c.moves.repeated(report) {
 		return
 	}
 	for _, count := range report.Counts {
--- a/pkg/control/rollouts.go
+++ b/pkg/control/rollouts.go
@@ -129,7 +129,7 @@
 	}
 	c.options.Log.Warn().Str("rollout", key.name).Int("generation", key.generation).Str("reason", reason).Msg("version blocked")
 	c.dirty = true
-	c.share(now, membership.Fact{Key: key.fact(prefixBlock), Epoch: firstFactNumber, Version: firstFactNumber, Value: value})
+	c.publishFact(now, membership.Fact{Key: key.fact(prefixBlock), Epoch: firstFactNumber, Version: firstFactNumber, Value: value})
 }
 
 // stepRollouts computes the next status of each rollout and stores what changed.
@@ -137,10 +137,10 @@
 func (c *Controller) stepRollouts(now time.Time) {
 	for name, spec := range c.set.Rollouts {
 		key := rolloutKey{name, c.set.Generations[api.KindRollout+"/"+name]}
-		entry := c.duty.rollouts[name]
+		entry := c.statuses.rollouts[name]
 		if entry == nil {
 			entry = &stored[api.RolloutStatus]{}
-			c.duty.rollouts[name] = entry
+			c.statuses.rollouts[name] = entry
 		}
 		if entry.busy {
 			continue
@@ -150,7 +150,7 @@
 			Bad: bad, Evidence: evidence, Blocked: c.blocked(key),
 			Exposure: c.fleetJudge(key, spec).Exposure(), Timed: c.fleetJudge(key, spec).TimedExposure(),
 		}
-		next, changed := rollout.Next(now, c.options.Self.Name, int(c.duty.epoch), spec, key.generation, entry.status, observed)
+		next, changed := rollout.Next(now, c.options.Self.Name, int(c.statuses.epoch), spec, key.generation, entry.status, observed)
 		if !changed {
 			continue
 		}
@@ -174,7 +174,7 @@
 
 // announceRollouts publishes the stored shares under the epoch of this holder.
 func (c *Controller) announceRollouts(now time.Time) {
-	for name, entry := range c.duty.rollouts {
+	for name, entry := range c.statuses.rollouts {
 		if c.set.Generations[api.KindRollout+"/"+name] != entry.status.Generation {
 			continue
 		}
@@ -192,7 +192,7 @@
 	}
 	c.dirty = true
 	key := rolloutKey{name, entry.status.Generation}
-	c.share(now, membership.Fact{Key: key.fact(prefixRollout), Epoch: c.duty.epoch, Version: entry.version, Value: value})
+	c.publishFact(now, membership.Fact{Key: key.fact(prefixRollout), Epoch: c.statuses.epoch, Version: entry.version, Value: value})
 }
 
 // dropOldRollouts forgets the evidence of generations that are no longer declared.
--- a/pkg/control/sync.go
+++ b/pkg/control/sync.go
@@ -83,7 +83,7 @@
 	now := time.Now()
 	c.readPlatform(now)
 	if c.options.Relay != "" {
-		c.share(now, membership.Fact{
+		c.publishFact(now, membership.Fact{
 			Key: prefixRelay + c.options.Self.Name, Epoch: c.options.Self.Incarnation, Version: firstFactNumber, Value: []byte(c.options.Relay),
 		})
 	}
--- a/pkg/control/vms.go
+++ b/pkg/control/vms.go
@@ -23,7 +23,7 @@
 	c.noteTargets(c.registry.ApplyList(now, list))
 	c.members.ListedNodes(now, nodeAddresses(list))
 	c.sync.announcedVMs(list.Version, "")
-	c.share(now, membership.Fact{Key: factVMs, Epoch: uint64(list.Version), Version: firstFactNumber, Value: []byte(c.options.Self.Address)})
+	c.publishFact(now, membership.Fact{Key: factVMs, Epoch: uint64(list.Version), Version: firstFactNumber, Value: []byte(c.options.Self.Address)})
 }
 
 func nodeAddresses(list api.VMList) []string {
