Back off failed calls for leases

A platform that refuses by rate was called by the candidates of all leases at each tick, and those calls took what operators needed.

Failed calls for a lease are now delayed from 200 ms up to 4 s with jitter, up to 0.8 s for a holder, whose lease lapses after 5 s.

Ruled out: a limit of the test's own platform, which gives 5 calls a second, more than the fleet needs when nothing is refused.

--- a/pkg/control/leases.go
+++ b/pkg/control/leases.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sort"
 	"strconv"
 	"time"
@@ -23,6 +24,12 @@
 	leaseTime = 5 * time.Second
 	// releaseTime bounds giving a lease back at a planned stop.
 	releaseTime = time.Second
+	// firstBackoff is the mean delay after the first failed call for a lease; it
+	// doubles up to candidateBackoff, or holderBackoff while the lease is held.
+	firstBackoff     = 200 * time.Millisecond
+	candidateBackoff = 4 * time.Second
+	holderBackoff    = 800 * time.Millisecond
+	maxBackoffShift  = 5
 	// smallFleet is the largest fleet with smallFleetWatchers in all; a larger one
 	// has a watcher per data centre.
 	smallFleet         = 20
@@ -40,6 +47,28 @@
 	machine    *lease.Machine
 	busy       bool
 	epoch      uint64 // 0 while it is not held
+	// failures counts the calls in a row that the platform refused or did not answer.
+	failures int
+	retryAt  time.Time
+}
+
+// backOff delays the next call after a failure. Without it, the candidates of all
+// leases keep calling a platform that refuses by rate, and take the calls that
+// operators need. A holder waits less, because its lease lapses.
+func (l *heldLease) backOff(now time.Time, random *rand.Rand) {
+	longest := candidateBackoff
+	if l.epoch > 0 {
+		longest = holderBackoff
+	}
+	delay := min(firstBackoff<<min(l.failures, maxBackoffShift), longest)
+	l.failures++
+	l.retryAt = now.Add(delay/2 + time.Duration(random.Int64N(int64(delay))))
+}
+
+// succeeded ends the delays.
+func (l *heldLease) succeeded() {
+	l.failures = 0
+	l.retryAt = time.Time{}
 }
 
 // leases is the leases that this node tries for or holds.
@@ -111,7 +140,7 @@
 
 func (c *Controller) stepLease(now time.Time, held *heldLease, wanted bool) {
 	c.noteHolding(now, held)
-	if held.busy {
+	if held.busy || now.Before(held.retryAt) {
 		return
 	}
 	if held.epoch == 0 && (!wanted || c.holderResponds(held.name)) {
@@ -183,9 +212,11 @@
 		err = json.Unmarshal(object.Value, &record)
 	}
 	if err != nil {
+		held.backOff(now, c.options.Random)
 		held.machine.Failed(now, err)
 		return
 	}
+	held.succeeded()
 	held.machine.Observed(now, record, object.Version)
 }
 
@@ -201,9 +232,13 @@
 			held.busy = false
 			c.heardPlatform(now, ignoreConflict(err))
 			if err != nil {
+				if ignoreConflict(err) != nil {
+					held.backOff(now, c.options.Random)
+				}
 				held.machine.Failed(now, err)
 				return
 			}
+			held.succeeded()
 			held.machine.Written(now, version)
 		}
 	})
