Announce a change from the node that committed it

Cause: TestPlatformWithLowRates failed under the race detector at rate 5 because an accepted change was not in force within 16 s: the node that had written it waited for a watcher to read it back, and the platform refused those reads.

The node that commits a change now applies it and announces it; peers fetch the difference from it. Ruled out: more attempts of the watchers, which are what the platform refuses.

--- a/pkg/control/fetch.go
+++ b/pkg/control/fetch.go
@@ -182,3 +182,13 @@
 	delta := c.config.Delta(have)
 	return &message.Message{ConfigDelta: &delta}
 }
+
+// Committed puts a change in force that this node committed for an operator, and
+// announces it. A platform that is slow or refuses reads then delays no node. It
+// may be called from any goroutine.
+func (c *Controller) Committed(revision uint64, manifest api.Manifest, blobs map[string][]byte) {
+	c.post(func(now time.Time) {
+		set, err := c.config.Accept(revision, manifest, blobs)
+		c.applySet(now, set, err, true)
+	})
+}
--- a/pkg/operator/commit.go
+++ b/pkg/operator/commit.go
@@ -45,6 +45,8 @@
 	store   platform.Store
 	backend Backend
 	now     func() time.Time
+	// committed is told of each commit; may be nil.
+	committed func(revision uint64, manifest api.Manifest, blobs map[string][]byte)
 }
 
 // commit plans a change on the newest manifest and commits it. The error is of
@@ -135,6 +137,9 @@
 	if err != nil {
 		return ApplyResult{}, platformError(change, err, uncertain)
 	}
+	if c.committed != nil {
+		c.committed(result.Revision, p.manifest, p.specs())
+	}
 	return result, nil
 }
 
--- a/pkg/operator/plan.go
+++ b/pkg/operator/plan.go
@@ -51,6 +51,15 @@
 	return p
 }
 
+// specs returns the specs that the new manifest refers to, by digest.
+func (p *plan) specs() map[string][]byte {
+	specs := map[string][]byte{}
+	for _, object := range p.objects {
+		specs[p.manifest.Entries[object.Key()].Digest] = object.Spec
+	}
+	return specs
+}
+
 func (p *plan) put(from base, object api.Object) {
 	key := object.Key()
 	digest := configuration.Digest(object.Spec)
--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -5,6 +5,7 @@
 	"net/http/pprof"
 	"time"
 
+	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/platform"
 )
 
@@ -22,6 +23,10 @@
 	Store platform.Store
 	// Backend is the node's control state.
 	Backend Backend
+	// Committed is told of each change that this server committed, with all specs by
+	// digest, so that the node need not read from the platform what it just wrote.
+	// It must not change them; nil tells no one.
+	Committed func(revision uint64, manifest api.Manifest, blobs map[string][]byte)
 	// Metrics serves /metrics; nil answers 404 there.
 	Metrics http.Handler
 	// MaxBodyBytes bounds a request body; 0 takes DefaultMaxBodyBytes.
@@ -46,7 +51,7 @@
 		options.Now = time.Now
 	}
 	s := &Server{options: options, mux: http.NewServeMux()}
-	s.committer = committer{store: options.Store, backend: options.Backend, now: options.Now}
+	s.committer = committer{store: options.Store, backend: options.Backend, now: options.Now, committed: options.Committed}
 	s.addResources()
 	s.addProfiling()
 	return s
--- a/testbed/fleet/configuration_test.go
+++ b/testbed/fleet/configuration_test.go
@@ -230,3 +230,14 @@
 		g.Expect(fleet.WaitUntil(inForceLimit, func() bool { return allAt(f, result.Revision) && inForce() })).To(BeTrue())
 	})
 }
+
+// Guards against a change that was accepted but stays at the platform, because the
+// platform refuses all reads right after the commit.
+func TestCommittedChangeNeedsNoReads(t *testing.T) {
+	inFleet(t, 5, func(g *WithT, f *fleet.Fleet) {
+		code, result := f.Nodes[0].Apply(workKind(670))
+		f.Platform.SetFaults(platform.Faults{RefuseByRate: true})
+		g.Expect(code).To(Equal(200))
+		g.Expect(fleet.WaitUntil(inForceLimit, func() bool { return allAt(f, result.Revision) })).To(BeTrue())
+	})
+}
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -120,7 +120,9 @@
 		Log:       f.Log.With().Str("node", node.Name).Logger(),
 	})
 	node.Backend = control.NewBackend(node.Controller, &explain.Ring{})
-	node.operator = operator.NewServer(operator.Options{Store: store, Backend: node.Backend})
+	node.operator = operator.NewServer(operator.Options{
+		Store: store, Backend: node.Backend, Committed: node.Controller.Committed,
+	})
 	f.network.add(node.Address, node.Controller)
 	ctx, cancel := context.WithCancel(context.Background())
 	node.cancel = cancel
