Compare the counted fleet with slices.Equal

pkg/control had its own comparison of two lists of names, which the standard library has. Behaviour is unchanged; go test ./testbed/fleet passes.

--- a/pkg/control/build.go
+++ b/pkg/control/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sort"
 	"time"
 
@@ -39,7 +40,7 @@
 func (c *Controller) noteFleet(now time.Time) {
 	counted := c.members.Counted(now)
 	joined := c.members.Joined()
-	if joined == c.joined && equal(counted, c.counted) {
+	if joined == c.joined && slices.Equal(counted, c.counted) {
 		return
 	}
 	c.counted = counted
@@ -49,18 +50,6 @@
 	c.dirty = true
 }
 
-func equal(a, b []string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // extendValidity tells whether this node is isolated: it hears neither the
 // platform nor any of the nodes that it knows of. A node that knows of no other
 // node keeps serving.
