--- a/pkg/control/backend.go
+++ b/pkg/control/backend.go
@@ -13,7 +13,7 @@
 	"github.com/fireflychute/fireflychute/pkg/explain"
 	"github.com/fireflychute/fireflychute/pkg/operator"
 	"github.com/fireflychute/fireflychute/pkg/platform"
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 )
 
 const (
@@ -141,14 +141,14 @@
 	return loads
 }
 
-func targetLoad(entry target.Entry, units int) operator.TargetLoad {
+func targetLoad(entry targets.Entry, units int) operator.TargetLoad {
 	load := operator.TargetLoad{
 		Address: entry.Address, Service: entry.Service, DataCentre: entry.DataCentre, Version: entry.Version,
 		State: entry.State(), Units: units, InFlight: int(entry.Counters.InFlight.Load()), LatencyMicros: entry.Counters.LatencyMicros.Load(),
 	}
 	if report := entry.Counters.LastReport.Load(); report != nil {
 		load.Reported = report.InFlight + report.Queued
-		load.ReportAge = time.Duration(target.Nanos(time.Now()) - report.ArrivedNanos)
+		load.ReportAge = time.Duration(targets.Nanos(time.Now()) - report.ArrivedNanos)
 	}
 	return load
 }
--- a/pkg/control/backend_test.go
+++ b/pkg/control/backend_test.go
@@ -12,7 +12,7 @@
 	"github.com/fireflychute/fireflychute/pkg/explain"
 	"github.com/fireflychute/fireflychute/pkg/operator/operatortest"
 	"github.com/fireflychute/fireflychute/pkg/platform"
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 )
 
 // Guards against a status that changed within the cache time being shown as before
@@ -37,9 +37,9 @@
 // report look current.
 func TestReportAgeIsShown(t *testing.T) {
 	g := NewWithT(t)
-	counters := &target.Counters{}
-	counters.Reported(&target.Report{InFlight: 2, Queued: 1, ArrivedNanos: target.Nanos(time.Now().Add(-time.Second))})
-	load := targetLoad(target.Entry{Counters: counters}, 1)
+	counters := &targets.Counters{}
+	counters.Reported(&targets.Report{InFlight: 2, Queued: 1, ArrivedNanos: targets.Nanos(time.Now().Add(-time.Second))})
+	load := targetLoad(targets.Entry{Counters: counters}, 1)
 	g.Expect(load.Reported).To(Equal(3))
 	g.Expect(load.ReportAge).To(BeNumerically(">=", time.Second))
 }
--- a/pkg/control/build.go
+++ b/pkg/control/build.go
@@ -10,7 +10,7 @@
 	"github.com/fireflychute/fireflychute/pkg/outcome"
 	"github.com/fireflychute/fireflychute/pkg/share"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 )
 
 // publish builds a new snapshot when something changed that traffic must see.
@@ -72,7 +72,7 @@
 
 // units returns this node's part of a target's limit. A node that has not joined
 // uses none, because the others do not count it yet.
-func (c *Controller) units(entry target.Entry) int {
+func (c *Controller) units(entry targets.Entry) int {
 	if !c.joined {
 		return 0
 	}
@@ -138,7 +138,7 @@
 }
 
 // noteCold keeps track of the cold targets of which this node has the first unit.
-func (c *Controller) noteCold(entry target.Entry) {
+func (c *Controller) noteCold(entry targets.Entry) {
 	units := c.units(entry)
 	if entry.Cold && !entry.Leaving && c.joined && c.ranks[entry.Address] == 0 {
 		c.cold.keep(entry, units)
--- a/pkg/control/cold.go
+++ b/pkg/control/cold.go
@@ -1,6 +1,6 @@
 package control
 
-import "github.com/fireflychute/fireflychute/pkg/target"
+import "github.com/fireflychute/fireflychute/pkg/targets"
 
 const (
 	// busyWeight is the part that a sample of 100 ms has in the average use of a
@@ -13,7 +13,7 @@
 
 // coldTarget is a cold target of which this node has the first unit.
 type coldTarget struct {
-	counters *target.Counters
+	counters *targets.Counters
 	units    int     // of this node
 	use      float64 // average part of the time in which all units were in use
 }
@@ -22,7 +22,7 @@
 type coldTargets map[string]*coldTarget
 
 // keep notes a cold target and its present units.
-func (t coldTargets) keep(entry target.Entry, units int) {
+func (t coldTargets) keep(entry targets.Entry, units int) {
 	known := t[entry.Address]
 	if known == nil {
 		known = &coldTarget{counters: entry.Counters}
--- a/pkg/control/cold_test.go
+++ b/pkg/control/cold_test.go
@@ -5,7 +5,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 )
 
 // Guards against a returned data centre that never counts as back because its
@@ -18,7 +18,7 @@
 	}{{3, false}, {9, true}}
 	for _, c := range cases {
 		cold := coldTargets{}
-		entry := target.Entry{Address: "127.0.0.1:1", Counters: &target.Counters{}}
+		entry := targets.Entry{Address: "127.0.0.1:1", Counters: &targets.Counters{}}
 		cold.keep(entry, 1)
 		for i := range 200 {
 			entry.Counters.InFlight.Store(0)
--- a/pkg/control/controller.go
+++ b/pkg/control/controller.go
@@ -10,7 +10,7 @@
 	"github.com/fireflychute/fireflychute/pkg/membership"
 	"github.com/fireflychute/fireflychute/pkg/operator"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 )
 
 // event is a step that runs on the control goroutine.
@@ -26,7 +26,7 @@
 	cancel context.CancelFunc
 
 	members  *membership.Machine
-	registry *target.Registry
+	registry *targets.Registry
 	config   *configuration.Store
 	set      *configuration.Set
 	vms      api.VMList
@@ -51,7 +51,7 @@
 	ranks           map[string]int      // of this node, by target address
 	ranked          map[string][]string // nodes by rank, by target address
 	totals          map[string]int      // units of all nodes, by target address
-	relayed         map[string]*target.Counters
+	relayed         map[string]*targets.Counters
 	others          []otherNode // nodes that take over calls
 	cold            coldTargets
 	validity        snapshot.Validity
@@ -75,12 +75,12 @@
 		options:   options,
 		events:    make(chan event, eventBuffer),
 		members:   membership.New(options.Self, options.Seeds, options.Random, now),
-		registry:  target.NewRegistry(options.Self.Name),
+		registry:  targets.NewRegistry(options.Self.Name),
 		config:    configuration.NewStore(),
 		ranks:     map[string]int{},
 		ranked:    map[string][]string{},
 		totals:    map[string]int{},
-		relayed:   map[string]*target.Counters{},
+		relayed:   map[string]*targets.Counters{},
 		cold:      coldTargets{},
 		sync:      syncState{blobs: map[string][]byte{}},
 		startedAt: now,
--- a/pkg/control/facts.go
+++ b/pkg/control/facts.go
@@ -8,7 +8,7 @@
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/membership"
 	"github.com/fireflychute/fireflychute/pkg/message"
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 )
 
 // Keys of facts, and prefixes of keys.
@@ -91,14 +91,14 @@
 }
 
 func (c *Controller) takeTargetFact(now time.Time, fact membership.Fact) {
-	changes := c.registry.ApplyFact(now, target.Fact{
+	changes := c.registry.ApplyFact(now, targets.Fact{
 		Key: strings.TrimPrefix(fact.Key, membership.TargetPrefix), Epoch: fact.Epoch, Version: fact.Version, Value: fact.Value,
 	})
 	c.noteTargets(changes)
 }
 
 // shareTargets publishes what this node found out about targets.
-func (c *Controller) shareTargets(now time.Time, facts []target.Fact) {
+func (c *Controller) shareTargets(now time.Time, facts []targets.Fact) {
 	for _, fact := range facts {
 		c.targetsDirty = true
 		c.publishFact(now, membership.Fact{
@@ -146,17 +146,17 @@
 }
 
 // noteTargets logs changes of targets' states.
-func (c *Controller) noteTargets(changes []target.Change) {
+func (c *Controller) noteTargets(changes []targets.Change) {
 	for _, change := range changes {
 		c.targetsDirty = true
-		if change.Kind == target.Forgotten {
+		if change.Kind == targets.Forgotten {
 			delete(c.probesByTarget, change.Address)
 			delete(c.totals, change.Address)
 			delete(c.cold, change.Address)
 		}
-		if change.Kind == target.Left || change.Kind == target.Returned {
+		if change.Kind == targets.Left || change.Kind == targets.Returned {
 			c.options.Log.Info().Str("target", change.Address).Str("reason", string(change.Reason)).
-				Bool("leaving", change.Kind == target.Left).Msg("target state changed")
+				Bool("leaving", change.Kind == targets.Left).Msg("target state changed")
 		}
 	}
 }
--- a/pkg/control/probes.go
+++ b/pkg/control/probes.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 )
 
 // probeTime bounds one health check.
@@ -45,8 +45,8 @@
 }
 
 // probe makes one health check.
-func (c *Controller) probe(ctx context.Context, address string) target.ProbeResult {
-	failed := target.ProbeResult{Address: address, Failed: true}
+func (c *Controller) probe(ctx context.Context, address string) targets.ProbeResult {
+	failed := targets.ProbeResult{Address: address, Failed: true}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/health", nil)
 	if err != nil {
 		return failed
@@ -58,11 +58,11 @@
 		return failed
 	}
 	_ = answer.Body.Close()
-	report, err := target.ParseReport(answer.Header.Get(target.HeaderLoad))
+	report, err := targets.ParseReport(answer.Header.Get(targets.HeaderLoad))
 	if err != nil {
 		return failed
 	}
-	return target.ProbeResult{Address: address, Report: report}
+	return targets.ProbeResult{Address: address, Report: report}
 }
 
 // refused tells that the target refused the connection. Other failures to connect
--- a/pkg/control/relay.go
+++ b/pkg/control/relay.go
@@ -4,7 +4,7 @@
 	"github.com/fireflychute/fireflychute/pkg/membership"
 	"github.com/fireflychute/fireflychute/pkg/share"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 )
 
 // relayUnits is how many calls a node may have handed over to one other node at
@@ -85,10 +85,10 @@
 
 // relayCounters returns the counters of the calls handed over to a node. They
 // live as long as this node, since node names are few.
-func (c *Controller) relayCounters(node string) *target.Counters {
+func (c *Controller) relayCounters(node string) *targets.Counters {
 	counters := c.relayed[node]
 	if counters == nil {
-		counters = &target.Counters{}
+		counters = &targets.Counters{}
 		c.relayed[node] = counters
 	}
 	return counters
--- a/pkg/control/state.go
+++ b/pkg/control/state.go
@@ -3,7 +3,7 @@
 import (
 	"maps"
 
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 )
 
 // State is the control state that metrics show. It is at most a second old.
@@ -24,7 +24,7 @@
 }
 
 // Entries returns the listed targets. It may be called from any goroutine.
-func (c *Controller) Entries() []target.Entry {
+func (c *Controller) Entries() []targets.Entry {
 	return c.view.Load().entries
 }
 
--- a/pkg/control/view.go
+++ b/pkg/control/view.go
@@ -7,7 +7,7 @@
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/datacentre"
 	"github.com/fireflychute/fireflychute/pkg/operator"
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 )
 
 // loadMemory is the part of a service's peak load that is kept at each view, so
@@ -20,7 +20,7 @@
 	configuration operator.Configuration
 	nodes         []api.NodeStatus
 	readiness     operator.Readiness
-	entries       []target.Entry
+	entries       []targets.Entry
 	units         map[string]int
 	loads         map[string]datacentre.ServiceLoad
 	state         State
@@ -80,7 +80,7 @@
 	}
 }
 
-func (c *Controller) unitsOf(entries []target.Entry) map[string]int {
+func (c *Controller) unitsOf(entries []targets.Entry) map[string]int {
 	units := map[string]int{}
 	for _, entry := range entries {
 		units[entry.Address] = c.units(entry)
@@ -106,7 +106,7 @@
 
 // serviceLoads estimates the requests in flight of each service over all nodes
 // from the targets' load reports. Targets without a report count as the mean.
-func serviceLoads(old map[string]datacentre.ServiceLoad, entries []target.Entry) map[string]datacentre.ServiceLoad {
+func serviceLoads(old map[string]datacentre.ServiceLoad, entries []targets.Entry) map[string]datacentre.ServiceLoad {
 	type sum struct{ inFlight, reported, targets float64 }
 	sums := map[string]sum{}
 	loads := map[string]datacentre.ServiceLoad{}
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/fireflychute/fireflychute/pkg/control"
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 	"github.com/fireflychute/fireflychute/pkg/telemetry"
 )
 
@@ -49,7 +49,7 @@
 
 // observeTargets counts targets by state. Levels are recorded for cold targets
 // only, so that a full-size fleet does not make a series per target.
-func observeTargets(record telemetry.Record, entries []target.Entry) {
+func observeTargets(record telemetry.Record, entries []targets.Entry) {
 	type group struct{ service, state string }
 	counts := map[group]int64{}
 	for _, entry := range entries {
--- a/pkg/node/metrics_test.go
+++ b/pkg/node/metrics_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/fireflychute/fireflychute/pkg/control"
 	"github.com/fireflychute/fireflychute/pkg/settings"
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 	"github.com/fireflychute/fireflychute/pkg/telemetry"
 	"github.com/rs/zerolog"
 )
@@ -30,7 +30,7 @@
 	n.observe(record)
 	observeTraffic(record, map[string]int{"s": 1}, 1)
 	observeState(record, control.State{Leases: []string{"controller"}, Probes: map[string]uint64{"t": 1}}, true)
-	observeTargets(record, []target.Entry{{Address: "t", Cold: true}})
+	observeTargets(record, []targets.Entry{{Address: "t", Cold: true}})
 	for _, m := range telemetry.Metrics {
 		if m.Type == telemetry.ObservedCounter || m.Type == telemetry.Gauge {
 			g.Expect(recorded).To(HaveKeyWithValue(m.Name, ConsistOf(m.Labels)), m.Name)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -23,7 +23,7 @@
 	"github.com/fireflychute/fireflychute/pkg/proxy"
 	"github.com/fireflychute/fireflychute/pkg/settings"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 	"github.com/fireflychute/fireflychute/pkg/telemetry"
 	"github.com/fireflychute/fireflychute/pkg/tlsconfig"
 )
@@ -119,8 +119,8 @@
 	n.backend = control.NewBackend(n.controller, ring)
 }
 
-func parseReport(value string) (target.Report, bool) {
-	report, err := target.ParseReport(value)
+func parseReport(value string) (targets.Report, bool) {
+	report, err := targets.ParseReport(value)
 	return report, err == nil
 }
 
--- a/pkg/proxy/bench_test.go
+++ b/pkg/proxy/bench_test.go
@@ -7,7 +7,7 @@
 	"testing"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 	"github.com/fireflychute/fireflychute/pkg/telemetry"
 )
 
@@ -22,7 +22,7 @@
 // with metrics, without the listener for callers.
 func BenchmarkRequest(b *testing.B) {
 	bench := newBench(b, api.WorkKindSpec{Idempotent: true}, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
-	bench.options.ParseReport = func(string) (target.Report, bool) { return target.Report{}, false }
+	bench.options.ParseReport = func(string) (targets.Report, bool) { return targets.Report{}, false }
 	metrics, err := telemetry.New(b.Context(), telemetry.Options{})
 	if err != nil {
 		b.Fatal(err)
--- a/pkg/proxy/gate_test.go
+++ b/pkg/proxy/gate_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/fireflychute/fireflychute/pkg/admission"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 )
 
 // Guards against a free unit staying unused because the request that was woken
@@ -18,7 +18,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		held := newGate(&snapshot.Service{})
-		free := &snapshot.Target{Units: 1, Counters: &target.Counters{}}
+		free := &snapshot.Target{Units: 1, Counters: &targets.Counters{}}
 		g.Expect(reserve(free)).To(BeTrue())
 		request := admission.Request{Deadline: time.Now().Add(time.Hour)}
 		for range 3 {
--- a/pkg/proxy/handler.go
+++ b/pkg/proxy/handler.go
@@ -11,7 +11,7 @@
 	"github.com/fireflychute/fireflychute/pkg/explain"
 	"github.com/fireflychute/fireflychute/pkg/retry"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 	"github.com/fireflychute/fireflychute/pkg/telemetry"
 	"github.com/fireflychute/fireflychute/pkg/transport"
 )
@@ -40,7 +40,7 @@
 	Node         string
 	Deduplicator Deduplicator
 	// ParseReport reads the value of HeaderLoad.
-	ParseReport func(value string) (target.Report, bool)
+	ParseReport func(value string) (targets.Report, bool)
 	Telemetry   *telemetry.Telemetry
 	Explain     *explain.Ring
 	// Seed makes choices repeatable; 0 takes a random seed.
--- a/pkg/proxy/handler_test.go
+++ b/pkg/proxy/handler_test.go
@@ -22,7 +22,7 @@
 	"github.com/fireflychute/fireflychute/internal/faultmatrix"
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 	"github.com/fireflychute/fireflychute/pkg/telemetry"
 )
 
@@ -117,7 +117,7 @@
 		runs.Add(1)
 		drop(w, r)
 	})
-	b.version.Targets[0].Counters = &target.Counters{} // owned by another node
+	b.version.Targets[0].Counters = &targets.Counters{} // owned by another node
 	answer, _, err := b.call(t.Context(), http.MethodPost, "")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(answer.Header.Get(HeaderOutcome)).To(Equal(OutcomeUnknown))
--- a/pkg/proxy/main_test.go
+++ b/pkg/proxy/main_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 )
 
 // bench is a node with one service.
@@ -44,8 +44,8 @@
 }
 
 // add adds a target of which this node, the only one, is the owner.
-func (b *bench) add(address string) *target.Counters {
-	registry := target.NewRegistry("n1")
+func (b *bench) add(address string) *targets.Counters {
+	registry := targets.NewRegistry("n1")
 	now := time.Now()
 	registry.ApplyList(now, api.VMList{Version: 1, VMs: []api.VM{{Address: address, Role: "target", Service: "s", State: api.VMStateLive}}})
 	registry.Collect(now, []string{"n1"}, map[string]api.ServiceSpec{"s": b.route.Service.Spec})
@@ -55,8 +55,8 @@
 }
 
 // parseReport reads the one field that the tests use.
-func parseReport(value string) (target.Report, bool) {
-	return target.Report{Draining: strings.Contains(value, "draining=1")}, value != ""
+func parseReport(value string) (targets.Report, bool) {
+	return targets.Report{Draining: strings.Contains(value, "draining=1")}, value != ""
 }
 
 func (b *bench) call(ctx context.Context, method, body string, header ...string) (*http.Response, string, error) {
--- a/pkg/proxy/pick.go
+++ b/pkg/proxy/pick.go
@@ -7,7 +7,7 @@
 
 	"github.com/fireflychute/fireflychute/pkg/balance"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 )
 
 // mainShare is the share from which a version may also take the work of a
@@ -141,4 +141,4 @@
 	return candidate
 }
 
-func nanos(now time.Time) int64 { return target.Nanos(now) }
+func nanos(now time.Time) int64 { return targets.Nanos(now) }
--- a/pkg/proxy/relay_test.go
+++ b/pkg/proxy/relay_test.go
@@ -11,7 +11,7 @@
 	"github.com/fireflychute/fireflychute/pkg/admission"
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 )
 
 // handOver makes the node without units of its own hand calls over to another.
@@ -21,7 +21,7 @@
 	t.Cleanup(relay.Close)
 	from.version.Targets = nil
 	from.version.Relays = []*snapshot.Target{{
-		Address: relay.Listener.Addr().String(), Units: 6, Connections: 100, Relay: true, Counters: &target.Counters{},
+		Address: relay.Listener.Addr().String(), Units: 6, Connections: 100, Relay: true, Counters: &targets.Counters{},
 	}}
 }
 
--- a/pkg/snapshot/snapshot.go
+++ b/pkg/snapshot/snapshot.go
@@ -9,7 +9,7 @@
 
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/outcome"
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 )
 
 // Snapshot is what one request is served by. Nothing in it changes after it was
@@ -81,7 +81,7 @@
 	// Local tells that the target is in this node's data centre.
 	Local    bool
 	Cold     bool
-	Counters *target.Counters
+	Counters *targets.Counters
 	// Relay tells that it is another node, to which a call is handed over.
 	Relay bool
 	// Connections is how many connections this node may have to the target; 0
--- a/pkg/target/state.go
+++ b/pkg/targets/state.go
@@ -1,4 +1,4 @@
-package target
+package targets
 
 import (
 	"slices"
--- a/testbed/bench/design.go
+++ b/testbed/bench/design.go
@@ -8,7 +8,7 @@
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/balance"
 	"github.com/fireflychute/fireflychute/pkg/share"
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 )
 
 const (
@@ -32,8 +32,8 @@
 	design     *design
 	name       string
 	at         int
-	registry   *target.Registry
-	entries    []target.Entry
+	registry   *targets.Registry
+	entries    []targets.Entry
 	units      []int
 	candidates []balance.Candidate
 	queue      *admission.Queue
@@ -60,11 +60,11 @@
 // newNode returns a node that knows all targets as warm, as after a long run.
 func (d *design) newNode(at int, list api.VMList) *node {
 	spec := d.run.scenario.Spec
-	n := &node{design: d, name: d.names[at], at: at, registry: target.NewRegistry(d.names[at]), waiting: map[*admission.Ticket]*request{}}
+	n := &node{design: d, name: d.names[at], at: at, registry: targets.NewRegistry(d.names[at]), waiting: map[*admission.Ticket]*request{}}
 	n.registry.ApplyList(epoch, list)
 	for address := range d.index {
 		warm := fmt.Sprintf(`{"incarnation":"i0","level":%d}`, spec.Slots+spec.Queue)
-		n.registry.ApplyFact(epoch, target.Fact{Key: target.KeyRamp + address, Epoch: 1, Version: 1, Value: []byte(warm)})
+		n.registry.ApplyFact(epoch, targets.Fact{Key: targets.KeyRamp + address, Epoch: 1, Version: 1, Value: []byte(warm)})
 	}
 	n.collect()
 	total := 0
@@ -100,7 +100,7 @@
 	n.refresh()
 }
 
-func (d *design) spread(from *node, facts []target.Fact) {
+func (d *design) spread(from *node, facts []targets.Fact) {
 	for _, n := range d.nodes {
 		if n == from {
 			continue
@@ -230,7 +230,7 @@
 	n.dispatch()
 }
 
-func (n *node) entry(to int) target.Entry {
+func (n *node) entry(to int) targets.Entry {
 	for _, e := range n.entries {
 		if n.design.index[e.Address] == to {
 			return e
--- a/testbed/bench/measuring.go
+++ b/testbed/bench/measuring.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 )
 
 // Cost is what measuring costs targets in operations per second.
@@ -20,14 +20,14 @@
 // MeasuringCost counts the probes of idle targets over a minute.
 func MeasuringCost(s Scenario, nodes int, refusing bool) Cost {
 	const seconds = 60
-	names, registries := []string{}, []*target.Registry{}
+	names, registries := []string{}, []*targets.Registry{}
 	list := api.VMList{Version: 1}
 	for i := range s.Targets {
 		list.VMs = append(list.VMs, api.VM{Address: fmt.Sprintf("10.0.0.%d:80", i), Role: "target", Service: service, State: api.VMStateLive})
 	}
 	for i := range nodes {
 		names = append(names, fmt.Sprintf("node-%d", i))
-		registries = append(registries, target.NewRegistry(names[i]))
+		registries = append(registries, targets.NewRegistry(names[i]))
 		registries[i].ApplyList(epoch, list)
 	}
 	spent := map[string]int{}
--- a/testbed/bench/target.go
+++ b/testbed/bench/target.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 )
 
 const (
@@ -53,7 +53,7 @@
 	cold       bool
 	gained     int // served since the cold start or the last overload
 	overloads  int
-	shown      target.Report
+	shown      targets.Report
 	shownAt    time.Duration
 }
 
@@ -144,10 +144,10 @@
 }
 
 // report is up to reportLag old.
-func (f *fake) report() target.Report {
+func (f *fake) report() targets.Report {
 	if f.clock.now-f.shownAt >= reportLag || f.shown.Incarnation != f.incarnation() {
 		f.shownAt = f.clock.now
-		f.shown = target.Report{
+		f.shown = targets.Report{
 			InFlight: len(f.running) + len(f.waiting), Queued: len(f.waiting), Served: uint64(f.served), Incarnation: f.incarnation(),
 		}
 	}
--- a/testbed/capacity/traffic.go
+++ b/testbed/capacity/traffic.go
@@ -15,7 +15,7 @@
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/proxy"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 )
 
 const (
@@ -127,7 +127,7 @@
 			return "", "", err
 		}
 		version.Targets = append(version.Targets, &snapshot.Target{
-			Address: address, Version: "v1", Units: trafficUnits, Local: true, Counters: &target.Counters{},
+			Address: address, Version: "v1", Units: trafficUnits, Local: true, Counters: &targets.Counters{},
 		})
 		direct = "http://" + address + "/label/1"
 	}
@@ -151,6 +151,6 @@
 
 // answer reports its load as a target does.
 func answer(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set(target.HeaderLoad, "inflight=3;queued=1;served=1200;incarnation=ab12;version=v1;draining=0")
+	w.Header().Set(targets.HeaderLoad, "inflight=3;queued=1;served=1200;incarnation=ab12;version=v1;draining=0")
 	_, _ = io.WriteString(w, answerText)
 }
--- a/testbed/cmd/benchlatency/main.go
+++ b/testbed/cmd/benchlatency/main.go
@@ -23,15 +23,15 @@
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/proxy"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
-	"github.com/fireflychute/fireflychute/pkg/target"
+	"github.com/fireflychute/fireflychute/pkg/targets"
 )
 
 const (
-	maxNanos  = int64(10 * time.Second)
-	digits    = 3
-	targets   = 12 // of the service called
-	units     = 64 // of each target
-	warmCalls = 2000
+	maxNanos    = int64(10 * time.Second)
+	digits      = 3
+	targetCount = 12 // of the service called
+	units       = 64 // of each target
+	warmCalls   = 2000
 	// clientConns keeps a stalled machine from using up the open files.
 	clientConns = 256
 	costCalls   = 10_000
@@ -80,15 +80,15 @@
 
 // start serves the targets and the node on loopback.
 func start() (direct, through string, err error) {
-	service := &snapshot.Service{Name: "label-text", Spec: api.ServiceSpec{Slots: 6}, Units: targets * units}
+	service := &snapshot.Service{Name: "label-text", Spec: api.ServiceSpec{Slots: 6}, Units: targetCount * units}
 	version := snapshot.Version{Name: "v1", Share: 1}
-	for range targets {
+	for range targetCount {
 		address, err := serve(http.HandlerFunc(answer))
 		if err != nil {
 			return "", "", err
 		}
 		version.Targets = append(version.Targets, &snapshot.Target{
-			Address: address, Version: "v1", Units: units, Connections: 4 * units, Local: true, Counters: &target.Counters{},
+			Address: address, Version: "v1", Units: units, Connections: 4 * units, Local: true, Counters: &targets.Counters{},
 		})
 		direct = "http://" + address + "/label/1"
 	}
