--- a/cmd/fireflychute/main.go
+++ b/cmd/fireflychute/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/fireflychute/fireflychute/pkg/node"
 	"github.com/fireflychute/fireflychute/pkg/settings"
+	"github.com/fireflychute/fireflychute/platform"
 )
 
 // Exit codes.
@@ -26,8 +27,10 @@
 	Version  bool   `long:"version" description:"print the version and end"`
 }
 
-const help = `Runs a node of the load balancer until SIGTERM or SIGINT, which start a planned stop.
+var help = `Runs a node of the load balancer until SIGTERM or SIGINT, which start a planned stop.
 With 'check' it reads the settings and the certificates that they name, and ends.
+With 'edge' it runs a node on the users' platform; the settings file is the platform's, at the path
+that the environment variable ` + platform.SettingsVariable + ` holds.
 
 Examples:
   fireflychute --settings /etc/fireflychute/node.toml
@@ -40,7 +43,7 @@
 func run(arguments []string) int {
 	var opts options
 	parser := flags.NewNamedParser("fireflychute", flags.Default)
-	parser.Usage = "[check] --settings FILE"
+	parser.Usage = "[check | edge] --settings FILE"
 	parser.LongDescription = help
 	_, err := parser.AddGroup("Options", "", &opts)
 	if err != nil {
@@ -56,6 +59,8 @@
 	case opts.Version:
 		fmt.Println("fireflychute", version())
 		return exitSuccess
+	case len(rest) == 1 && rest[0] == "edge":
+		return serveEdge(opts.Settings)
 	case opts.Settings == "":
 		fmt.Fprintln(os.Stderr, "fireflychute: --settings FILE must be given; see --help")
 		return exitUsage
--- /dev/null
+++ b/pkg/canary/outcomes.go
@@ -0,0 +1,150 @@
+// Package canary decides how a service moves to another version: how much of its
+// requests the new version receives, when it is found to be bad, and when the move
+// is done. Counts come from all nodes; the decision is a pure function of them.
+package canary
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/forward"
+	"github.com/fireflychute/fireflychute/pkg/outcome"
+)
+
+const (
+	// bucketCount latency buckets of bucketGrowth each cover 1 ms to 2 minutes.
+	bucketCount  = 40
+	bucketGrowth = 1.35
+)
+
+// Key names one row of counts.
+type Key struct {
+	Service string
+	// Order identifies the rollout's order.
+	Order uint64
+	Route string
+	// Canary rows count the version that is rolled out, others the one in use.
+	Canary bool
+}
+
+// Counts are outcomes that only grow.
+type Counts struct {
+	Requests, Failures uint64
+	// Latencies counts answers of warm targets by bucket.
+	Latencies [bucketCount]uint64
+}
+
+// Outcomes counts what became of requests to services with a rollout.
+type Outcomes struct {
+	mu   sync.Mutex
+	rows map[Key]*Counts
+}
+
+// NewOutcomes returns empty counts.
+func NewOutcomes() *Outcomes { return &Outcomes{rows: map[Key]*Counts{}} }
+
+// Asked implements forward.Observer.
+func (o *Outcomes) Asked(bool) {}
+
+// Ended implements forward.Observer. Sends that did not run say nothing of a version.
+func (o *Outcomes) Ended(record *forward.Record) {
+	for i := range record.Tries {
+		try := &record.Tries[i]
+		if try.Order == 0 || try.NotRun {
+			continue
+		}
+		o.add(Key{record.Service, try.Order, record.Route, try.Canary}, try)
+	}
+}
+
+func (o *Outcomes) add(key Key, try *forward.Try) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	row := o.rows[key]
+	if row == nil {
+		row = &Counts{}
+		o.rows[key] = row
+	}
+	row.Requests++
+	if try.Failed {
+		row.Failures++
+		return
+	}
+	if !try.Cold && try.Latency > 0 {
+		row.Latencies[bucketOf(try.Latency)]++
+	}
+}
+
+// Rows returns a copy of the counts of the orders that are kept; the others are
+// forgotten.
+func (o *Outcomes) Rows(keep map[uint64]bool) map[Key]Counts {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	rows := map[Key]Counts{}
+	for key, counts := range o.rows {
+		if !keep[key.Order] {
+			delete(o.rows, key)
+			continue
+		}
+		rows[key] = *counts
+	}
+	return rows
+}
+
+func bucketOf(latency time.Duration) int {
+	millis := float64(latency) / float64(time.Millisecond)
+	if millis < 1 {
+		return 0
+	}
+	return min(bucketCount-1, int(math.Log(millis)/math.Log(bucketGrowth)))
+}
+
+// bucketMicros is the latency that stands for a bucket.
+func bucketMicros(bucket int) int64 {
+	return int64(1000 * math.Pow(bucketGrowth, float64(bucket)+0.5))
+}
+
+// Since returns what was added after earlier counts of the same row.
+func (c Counts) Since(earlier Counts) outcome.Counts {
+	difference := outcome.Counts{
+		Requests: int(c.Requests - earlier.Requests),
+		Failures: int(c.Failures - earlier.Failures),
+	}
+	for bucket, count := range c.Latencies {
+		added := int64(count - earlier.Latencies[bucket])
+		if added <= 0 {
+			continue
+		}
+		if difference.Histogram == nil {
+			difference.Histogram = outcome.NewHistogram()
+		}
+		_ = difference.Histogram.RecordValues(bucketMicros(bucket), added) // cannot fail within the bounds
+	}
+	return difference
+}
+
+// Add returns the sum of two rows.
+func (c Counts) Add(other Counts) Counts {
+	c.Requests += other.Requests
+	c.Failures += other.Failures
+	for bucket := range c.Latencies {
+		c.Latencies[bucket] += other.Latencies[bucket]
+	}
+	return c
+}
+
+// LatencyList returns the latency counts without the empty buckets at the end.
+func (c Counts) LatencyList() []uint64 {
+	list := slices.Clone(c.Latencies[:])
+	for len(list) > 0 && list[len(list)-1] == 0 {
+		list = list[:len(list)-1]
+	}
+	return list
+}
+
+// SetLatencies takes over a list of LatencyList.
+func (c *Counts) SetLatencies(list []uint64) {
+	copy(c.Latencies[:], list)
+}
--- /dev/null
+++ b/pkg/edge/journal.go
@@ -0,0 +1,137 @@
+package edge
+
+import (
+	"bytes"
+	"log"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/fireflychute/fireflychute/pkg/forward"
+)
+
+const (
+	// linesPerSecond bounds the lines about requests for each reason. A node serves
+	// some ten requests a second, so in calm times every request has its line.
+	linesPerSecond = 40
+)
+
+// journal writes a line for each request and counts the lines that it leaves out.
+type journal struct {
+	log zerolog.Logger
+
+	mu      sync.Mutex
+	second  int64
+	written map[string]int
+	dropped map[string]int
+}
+
+func newJournal(log zerolog.Logger) *journal {
+	return &journal{log: log, written: map[string]int{}, dropped: map[string]int{}}
+}
+
+// admit tells whether a line may be written, and what was left out in the last second.
+func (j *journal) admit(reason string, now time.Time) (ok bool, dropped map[string]int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if second := now.Unix(); second != j.second {
+		if len(j.dropped) > 0 {
+			dropped = j.dropped
+			j.dropped = map[string]int{}
+		}
+		j.second = second
+		clear(j.written)
+	}
+	if j.written[reason] >= linesPerSecond {
+		j.dropped[reason]++
+		return false, dropped
+	}
+	j.written[reason]++
+	return true, dropped
+}
+
+// Asked implements forward.Observer.
+func (j *journal) Asked(bool) {}
+
+// Ended implements forward.Observer.
+func (j *journal) Ended(r *forward.Record) {
+	now := time.Now()
+	ok, dropped := j.admit(r.Reason, now)
+	for reason, count := range dropped {
+		j.log.Warn().Str("reason", reason).Int("dropped", count).Msg("lines about requests left out")
+	}
+	if !ok {
+		return
+	}
+	line := j.log.Info()
+	if r.Outcome != forward.OutcomeAnswered {
+		line = j.log.Warn()
+	}
+	line.Str("request", r.ID).Str("route", r.Route).Str("service", r.Service).Uint64("configuration", r.Version).
+		Int("status", r.Status).Str("outcome", r.Outcome).Str("reason", r.Reason).
+		Dur("took", now.Sub(r.Began)).Int64("bytes", r.Bytes).
+		Array("tries", tries(r.Tries)).Msg("request")
+}
+
+// tries writes the tries of a request.
+type tries []forward.Try
+
+// MarshalZerologArray implements zerolog.LogArrayMarshaler.
+func (t tries) MarshalZerologArray(array *zerolog.Array) {
+	for i := range t {
+		array.Object((*try)(&t[i]))
+	}
+}
+
+type try forward.Try
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (t *try) MarshalZerologObject(e *zerolog.Event) {
+	e.Str("target", t.Target).Str("version", t.Version).Int("asked", t.Asked).Int("heard", t.Heard).
+		Float64("cost", t.Cost).Dur("age", t.Age).Int("status", t.Status).Dur("latency", t.Latency)
+	if t.Canary {
+		e.Bool("canary", true)
+	}
+	if t.Cold {
+		e.Bool("cold", true)
+	}
+	if t.Failure != "" {
+		e.Str("failure", t.Failure).Bool("notRun", t.NotRun)
+	}
+}
+
+// observers passes what became of requests to several observers.
+type observers []forward.Observer
+
+// Ended implements forward.Observer.
+func (o observers) Ended(record *forward.Record) {
+	for _, observer := range o {
+		observer.Ended(record)
+	}
+}
+
+// Asked implements forward.Observer.
+func (o observers) Asked(failed bool) {
+	for _, observer := range o {
+		observer.Asked(failed)
+	}
+}
+
+// serverLog takes the lines that net/http logs by itself. Faults of clients can be
+// many and are no fault of the node.
+func serverLog(logger zerolog.Logger) *log.Logger {
+	return log.New(serverLines{logger}, "", 0)
+}
+
+type serverLines struct{ log zerolog.Logger }
+
+// Write implements io.Writer.
+func (s serverLines) Write(line []byte) (int, error) {
+	level := zerolog.DebugLevel
+	if bytes.Contains(line, []byte("panic serving")) {
+		level = zerolog.ErrorLevel
+	}
+	s.log.WithLevel(level).Msg(string(bytes.TrimSpace(line)))
+	return len(line), nil
+}
--- /dev/null
+++ b/pkg/edge/process.go
@@ -0,0 +1,224 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/fireflychute/fireflychute/pkg/forward"
+	"github.com/fireflychute/fireflychute/pkg/topology"
+	"github.com/fireflychute/fireflychute/pkg/transport"
+)
+
+const (
+	// refuseAfter is when a stopping node begins to refuse: the platform's balancer
+	// has taken it out after two questions, one second apart.
+	refuseAfter = 2600 * time.Millisecond
+	// closeMargin is the time before SIGKILL at which a stopping node gives up the
+	// requests that are still running.
+	closeMargin = 250 * time.Millisecond
+	// idleConnectionTime is how long a connection to a target is kept unused.
+	idleConnectionTime = 9 * time.Second
+	// targetSilence is how long a connection to a target may stay without an
+	// acknowledgement before it counts as broken.
+	targetSilence = 3 * time.Second
+	// Bounds on callers where the configuration is not known yet.
+	defaultHeaderTime = 10 * time.Second
+	defaultIdleTime   = 90 * time.Second
+	maxHeaderBytes    = 64 << 10
+	// memoryShare is the part of the memory limit from which on garbage is collected harder.
+	memoryShare = 0.6
+)
+
+// Options are the parts that the platform's adapter provides.
+type Options struct {
+	Settings Settings
+	Store    Store
+	Codec    Codec
+	Protocol forward.Protocol
+	// ReadyPath is where the platform asks whether the node takes connections.
+	ReadyPath string
+	// Reload reads the settings again.
+	Reload func() (Settings, error)
+	Log    zerolog.Logger
+}
+
+// Process is a node on the platform.
+type Process struct {
+	options   Options
+	log       zerolog.Logger
+	published atomic.Pointer[topology.Topology]
+	handler   *forward.Handler
+	control   *controller
+	client    *transport.Client
+	draining  atomic.Bool
+	journal   *journal
+}
+
+// Run serves until a signal ends the process. The error of a planned stop is nil.
+func Run(options Options) error {
+	if options.Settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(options.Settings.MemoryBytes) * memoryShare))
+	}
+	p := newProcess(options)
+	p.log.Info().Str("dataCentre", options.Settings.DataCentre).Str("callers", options.Settings.CallerListen).Msg("node started")
+	err := p.serve()
+	p.log.Info().Err(err).Msg("node stopped")
+	return err
+}
+
+func newProcess(options Options) *Process {
+	p := &Process{options: options, log: options.Log}
+	settings := &options.Settings
+	p.client = transport.NewClientWith(transport.Options{IdleTime: idleConnectionTime, Silence: targetSilence})
+	p.journal = newJournal(options.Log)
+	p.control = newController(options, &p.published, p.client)
+	p.handler = forward.NewHandler(forward.Options{
+		Published: &p.published, Client: p.client, Protocol: options.Protocol,
+		Observer:   observers{p.journal, p.control.outcomes},
+		RetryRatio: settings.RetryRatio * budgetShare, RetryExtra: settings.RetryExtra * budgetShare,
+		RetryWindow: settings.RetryWindow,
+		Random:      rand.NewPCG(rand.Uint64(), rand.Uint64()),
+	})
+	return p
+}
+
+// budgetShare is the part of the fleet's retry budget that is used. The rest covers
+// nodes that are not counted yet and windows that differ between nodes.
+const budgetShare = 0.8
+
+func (p *Process) serve() error {
+	var group run.Group
+	p.addSignals(&group)
+	p.addControl(&group)
+	callers := &http.Server{
+		Handler: p.handler, ReadHeaderTimeout: defaultHeaderTime, IdleTimeout: defaultIdleTime,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: serverLog(p.log),
+	}
+	err := p.addServer(&group, p.options.Settings.CallerListen, callers, p.drain)
+	if err != nil {
+		return err
+	}
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+p.options.ReadyPath, p.serveReady)
+	err = p.addServer(&group, p.options.Settings.ReadyListen, &http.Server{Handler: ready, ReadHeaderTimeout: defaultHeaderTime}, closeNow)
+	if err != nil {
+		return err
+	}
+	err = group.Run()
+	if errors.Is(err, errStopped) {
+		return nil
+	}
+	return err
+}
+
+var errStopped = errors.New("stopped by a signal")
+
+// addSignals ends the group on SIGTERM and reads the settings again on SIGHUP.
+func (p *Process) addSignals(group *run.Group) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	ended := make(chan struct{})
+	group.Add(func() error {
+		for {
+			select {
+			case received := <-signals:
+				if received == syscall.SIGHUP {
+					p.reload()
+					continue
+				}
+				p.log.Info().Str("signal", received.String()).Msg("planned stop begins")
+				return errStopped
+			case <-ended:
+				return nil
+			}
+		}
+	}, func(error) { close(ended) })
+}
+
+// reload reads the settings again. What a running node can take over is the list
+// of seeds; the rest needs a start.
+func (p *Process) reload() {
+	settings, err := p.options.Reload()
+	if err != nil {
+		p.log.Error().Err(err).Msg("settings could not be reloaded; the earlier ones stay in force")
+		return
+	}
+	p.control.setSeeds(settings.Seeds)
+	p.log.Info().Strs("seeds", settings.Seeds).Msg("settings reloaded")
+}
+
+func (p *Process) addControl(group *run.Group) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	group.Add(func() error {
+		defer close(ended)
+		return p.control.run(ctx)
+	}, func(error) {
+		// Requests are still served while the node drains; control ends with them.
+		go func() {
+			<-p.control.drained
+			cancel()
+		}()
+	})
+}
+
+// addServer serves HTTP on an address until the group ends; stop ends it.
+func (p *Process) addServer(group *run.Group, address string, server *http.Server, stop func(*http.Server)) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", address)
+	}
+	stopped := make(chan struct{})
+	group.Add(func() error {
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			<-stopped
+			return nil
+		}
+		return errors.Wrapf(err, "serve on %s", address)
+	}, func(error) {
+		stop(server)
+		close(stopped)
+	})
+	return nil
+}
+
+func closeNow(server *http.Server) { _ = server.Close() }
+
+// drain ends the callers' server. The node first says that it is not ready, serves
+// on until the balancer has taken it out, then refuses what still comes and waits
+// for the requests that are running.
+func (p *Process) drain(server *http.Server) {
+	defer close(p.control.drained)
+	began := time.Now()
+	p.draining.Store(true)
+	p.handler.Stop()
+	time.Sleep(refuseAfter)
+	p.handler.Refuse()
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(p.options.Settings.GraceTime-closeMargin))
+	defer cancel()
+	err := server.Shutdown(ctx)
+	if err != nil {
+		p.log.Warn().Err(err).Int("inFlight", p.handler.InFlight()).Msg("requests were still running at the end of the grace time")
+	}
+}
+
+func (p *Process) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if p.draining.Load() || p.published.Load() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/pkg/edge/register.go
@@ -0,0 +1,71 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/replica"
+)
+
+const (
+	writeTimeout = 2 * time.Second
+	// writePause is the least time between two writes of the same matter.
+	writePause = 700 * time.Millisecond
+)
+
+// writeState tells whether a write is under way and when the next may begin.
+type writeState struct {
+	busy bool
+	next time.Time
+}
+
+// keepRegistered writes the node's own entry when it is missing or differs.
+func (c *controller) keepRegistered(ctx context.Context, now time.Time) {
+	if !c.replica.Known(replica.Nodes) || c.register.busy || now.Before(c.register.next) {
+		return
+	}
+	spec, err := c.options.Codec.EncodeNode(c.self)
+	if err != nil {
+		c.log.Error().Err(err).Msg("own entry cannot be encoded")
+		return
+	}
+	object, exists := c.replica.Object(replica.Nodes, c.self.Name)
+	if exists && bytes.Equal(bytes.TrimSpace(object.Spec), spec) {
+		return
+	}
+	if exists {
+		known, err := c.options.Codec.Node(object)
+		if err == nil && known.Address == c.self.Address && known.DataCentre == c.self.DataCentre {
+			return // an earlier start of the same node; the entry serves this one, too
+		}
+	}
+	c.write(ctx, &c.register, replica.Nodes, func(ctx context.Context) (replica.Object, error) {
+		if exists {
+			return c.options.Store.Replace(ctx, replica.Nodes, c.self.Name, object.Revision, spec)
+		}
+		return c.options.Store.Create(ctx, replica.Nodes, c.self.Name, spec)
+	})
+}
+
+// write makes one write to the store in the background and takes over its result.
+// After a conflict or a lost answer the next look at the replica decides anew.
+func (c *controller) write(ctx context.Context, state *writeState, kind replica.Kind, call func(ctx context.Context) (replica.Object, error)) {
+	state.busy = true
+	go func() {
+		limited, cancel := context.WithTimeout(ctx, writeTimeout)
+		defer cancel()
+		object, err := call(limited)
+		c.do(ctx, func() {
+			now := time.Now()
+			state.busy, state.next = false, now.Add(writePause)
+			if err != nil {
+				c.log.Warn().Err(err).Int("kind", int(kind)).Msg("write to the store failed; it is decided again")
+				return
+			}
+			if object.Name != "" && object.Revision > 0 {
+				c.dirty = c.replica.Put(now, kind, object) || c.dirty
+			}
+		})
+	}()
+}
--- /dev/null
+++ b/pkg/edge/rollouts.go
@@ -0,0 +1,359 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/canary"
+	"github.com/fireflychute/fireflychute/pkg/catalog"
+	"github.com/fireflychute/fireflychute/pkg/judge"
+	"github.com/fireflychute/fireflychute/pkg/message"
+	"github.com/fireflychute/fireflychute/pkg/replica"
+	"github.com/fireflychute/fireflychute/pkg/topology"
+)
+
+const (
+	// judgeTime is the period over which the two versions are compared.
+	judgeTime = time.Second
+	// shareGrain is the least change of a share that is written.
+	shareGrain = 0.01
+)
+
+// rolloutState is what the node knows of rollouts beside the replica.
+type rolloutState struct {
+	leading bool
+	// reports are the latest counts of each node.
+	reports map[string]nodeReport
+	// tracked are the rollouts in progress by order.
+	tracked map[uint64]*tracked
+}
+
+type nodeReport struct {
+	incarnation uint64
+	rows        map[canary.Key]canary.Counts
+}
+
+// tracked is one rollout in progress.
+type tracked struct {
+	seen    time.Time
+	judge   *judge.Judge
+	routes  map[string]bool
+	judged  time.Time
+	last    map[canary.Key]canary.Counts
+	rate    float64
+	total   uint64
+	bad     bool
+	blocked bool
+	// since is when the share in force was first seen, base the elapsed time that the
+	// step carried and when it was seen.
+	since    time.Time
+	share    float64
+	baseAt   time.Time
+	base     time.Duration
+	stepSeen uint64
+	write    writeState
+	status   writeState
+}
+
+func newRolloutState() rolloutState {
+	return rolloutState{reports: map[string]nodeReport{}, tracked: map[uint64]*tracked{}}
+}
+
+// isOpen tells whether a rollout is still to be decided.
+func isOpen(order topology.Order) bool {
+	return order.State == catalog.RolloutNew || order.State == catalog.RolloutInProgress
+}
+
+// effectiveSteps are the steps in force, without the versions that this node blocks
+// on its own evidence.
+func (c *controller) effectiveSteps() map[string]catalog.Step {
+	steps := make(map[string]catalog.Step, len(c.view.steps))
+	for service, step := range c.view.steps {
+		known := c.rollouts.tracked[step.Order]
+		if known != nil && known.blocked {
+			step.Failed = true
+		}
+		steps[service] = step
+	}
+	return steps
+}
+
+// localCounts are the node's counts of the rollouts in progress, for the leader.
+func (c *controller) localCounts() []message.CanaryCount {
+	var counts []message.CanaryCount
+	for key, row := range c.outcomes.Rows(c.openOrders()) {
+		counts = append(counts, message.CanaryCount{
+			Service: key.Service, Order: key.Order, Route: key.Route, Canary: key.Canary,
+			Requests: row.Requests, Failures: row.Failures, Latencies: row.LatencyList(),
+		})
+	}
+	return counts
+}
+
+func (c *controller) openOrders() map[uint64]bool {
+	open := map[uint64]bool{}
+	for _, order := range c.view.orders {
+		if isOpen(order) {
+			open[order.ID] = true
+		}
+	}
+	return open
+}
+
+// noteReport keeps the counts of another node.
+func (c *controller) noteReport(node string, fetch *message.ReplicaFetch) {
+	if len(fetch.Counts) == 0 {
+		return
+	}
+	report := nodeReport{incarnation: fetch.Incarnation, rows: map[canary.Key]canary.Counts{}}
+	for i := range fetch.Counts {
+		count := &fetch.Counts[i]
+		row := canary.Counts{Requests: count.Requests, Failures: count.Failures}
+		row.SetLatencies(count.Latencies)
+		report.rows[canary.Key{Service: count.Service, Order: count.Order, Route: count.Route, Canary: count.Canary}] = row
+	}
+	name := node
+	known, ok := c.rollouts.reports[name]
+	if ok && known.incarnation != report.incarnation {
+		// The counts of the earlier start still count.
+		c.rollouts.reports[name+"#"+time.Now().String()] = known
+	}
+	c.rollouts.reports[name] = report
+}
+
+// lead follows all open rollouts and, on the leading node, decides on them.
+func (c *controller) lead(ctx context.Context, now time.Time) {
+	open := c.openOrders()
+	for order := range c.rollouts.tracked {
+		if !open[order] {
+			delete(c.rollouts.tracked, order)
+		}
+	}
+	if len(open) == 0 {
+		clear(c.rollouts.reports)
+		return
+	}
+	local := c.outcomes.Rows(open)
+	for _, order := range c.view.orders {
+		if !isOpen(order) {
+			continue
+		}
+		t := c.track(now, order)
+		c.blockLocally(now, t, order, local)
+		c.compare(now, t, order, local)
+		if c.rollouts.leading {
+			c.decide(ctx, now, t, order)
+		}
+	}
+}
+
+func (c *controller) track(now time.Time, order topology.Order) *tracked {
+	t := c.rollouts.tracked[order.ID]
+	if t == nil {
+		t = &tracked{seen: now, baseAt: now, since: now, judged: now, routes: map[string]bool{}, last: map[canary.Key]canary.Counts{}}
+		t.judge = judge.New(judge.Alpha, c.routesOf(order.Service, t.routes))
+		c.rollouts.tracked[order.ID] = t
+		c.log.Info().Str("service", order.Service).Str("version", order.Version).Dur("duration", order.Duration).
+			Uint64("order", order.ID).Msg("rollout ordered")
+	}
+	step, ok := c.view.steps[order.Service]
+	if ok && step.Order == order.ID && step.Version == order.Version {
+		if step.Share != t.share {
+			t.share, t.since = step.Share, now
+		}
+		if object, exists := c.replica.Object(replica.Steps, order.Service); exists && object.Revision > t.stepSeen {
+			t.stepSeen, t.base, t.baseAt = object.Revision, max(step.Elapsed, t.elapsed(now)), now
+		}
+	}
+	return t
+}
+
+// elapsed is the time since the order, also across changes of the leader.
+func (t *tracked) elapsed(now time.Time) time.Duration { return t.base + now.Sub(t.baseAt) }
+
+func (c *controller) routesOf(service string, known map[string]bool) []string {
+	var names []string
+	if c.view.configuration == nil {
+		return nil
+	}
+	for i := range c.view.configuration.Routes {
+		route := &c.view.configuration.Routes[i]
+		for _, part := range route.Parts {
+			if part.Service == service && !known[route.Name] {
+				known[route.Name] = true
+				names = append(names, route.Name)
+			}
+		}
+	}
+	return names
+}
+
+// blockLocally stops sending to a version on the node's own evidence.
+func (c *controller) blockLocally(now time.Time, t *tracked, order topology.Order, local map[canary.Key]canary.Counts) {
+	if t.blocked {
+		return
+	}
+	for key, row := range local {
+		if key.Order != order.ID || !key.Canary {
+			continue
+		}
+		base := key
+		base.Canary = false
+		if canary.BadHere(local[base], row) {
+			t.blocked = true
+			c.log.Warn().Str("service", order.Service).Str("version", order.Version).Str("route", key.Route).
+				Uint64("requests", row.Requests).Uint64("failures", row.Failures).Msg("version blocked on this node's evidence")
+			c.publish(now)
+			return
+		}
+	}
+}
+
+// compare gives the judge what happened on all nodes since the last look.
+func (c *controller) compare(now time.Time, t *tracked, order topology.Order, local map[canary.Key]canary.Counts) {
+	period := now.Sub(t.judged)
+	if period < judgeTime {
+		return
+	}
+	t.judged = now
+	sums := map[canary.Key]canary.Counts{}
+	addRows(sums, order.ID, local)
+	for _, report := range c.rollouts.reports {
+		addRows(sums, order.ID, report.rows)
+	}
+	var total uint64
+	for key, row := range sums {
+		total += row.Requests
+		if !key.Canary {
+			continue
+		}
+		base := key
+		base.Canary = false
+		t.judge.Observe(key.Route, sums[base].Since(t.last[base]), row.Since(t.last[key]))
+	}
+	t.rate = float64(total-min(total, t.total)) / period.Seconds()
+	t.total, t.last = total, sums
+	bad, evidence := t.judge.Verdict()
+	if bad && !t.bad {
+		t.bad = true
+		c.log.Warn().Str("service", order.Service).Str("version", order.Version).Interface("evidence", evidence).Msg("version judged bad")
+	}
+}
+
+func addRows(sums map[canary.Key]canary.Counts, order uint64, rows map[canary.Key]canary.Counts) {
+	for key, row := range rows {
+		if key.Order == order {
+			sums[key] = sums[key].Add(row)
+		}
+	}
+}
+
+// decide writes the next step of a rollout, and its status.
+func (c *controller) decide(ctx context.Context, now time.Time, t *tracked, order topology.Order) {
+	progress := canary.Progress{
+		Elapsed: t.elapsed(now), Duration: order.Duration, Share: t.share, Held: now.Sub(t.since),
+		Requests: int(t.total), Rate: t.rate, Bad: t.bad, Present: c.hasTargets(order),
+	}
+	for key, row := range t.last {
+		if key.Canary {
+			progress.Exposed += int(row.Requests)
+		}
+	}
+	bounds := canary.Bounds{Share: c.options.Settings.CanaryShare, Slack: c.options.Settings.CanarySlack}
+	decision := canary.Decide(progress, bounds)
+	switch {
+	case decision.RollBack:
+		c.writeStep(ctx, now, t, order, 0, true)
+		c.writeStatus(ctx, now, t, order, catalog.RolloutRolledBack)
+	case decision.Complete:
+		c.writeStatus(ctx, now, t, order, catalog.RolloutComplete)
+	default:
+		c.writeStep(ctx, now, t, order, decision.Share, false)
+		if order.State == catalog.RolloutNew {
+			c.writeStatus(ctx, now, t, order, catalog.RolloutInProgress)
+		}
+	}
+}
+
+func (c *controller) hasTargets(order topology.Order) bool {
+	for _, known := range c.view.targets {
+		if known.err == nil && known.target.Service == order.Service && known.target.Version == order.Version && !known.target.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// writeStep writes the share of a version if it differs from the one in force.
+func (c *controller) writeStep(ctx context.Context, now time.Time, t *tracked, order topology.Order, share float64, failed bool) {
+	current, exists := c.view.steps[order.Service]
+	same := exists && current.Order == order.ID && current.Version == order.Version
+	if same && current.Failed == failed && abs(current.Share-share) < shareGrain || t.write.busy || now.Before(t.write.next) {
+		return
+	}
+	step := catalog.Step{
+		Service: order.Service, Version: order.Version, Base: c.baseOf(order, current, exists), Order: order.ID,
+		Share: share, Elapsed: t.elapsed(now), Failed: failed,
+	}
+	spec, err := c.options.Codec.EncodeStep(step)
+	if err != nil {
+		c.log.Error().Err(err).Msg("step cannot be encoded")
+		return
+	}
+	object, stored := c.replica.Object(replica.Steps, order.Service)
+	c.log.Info().Str("service", order.Service).Str("version", order.Version).Float64("share", share).Bool("failed", failed).
+		Dur("elapsed", step.Elapsed).Uint64("requests", t.total).Float64("rate", t.rate).Msg("rollout step")
+	c.write(ctx, &t.write, replica.Steps, func(ctx context.Context) (replica.Object, error) {
+		if stored {
+			return c.options.Store.Replace(ctx, replica.Steps, order.Service, object.Revision, spec)
+		}
+		return c.options.Store.Create(ctx, replica.Steps, order.Service, spec)
+	})
+}
+
+func abs(value float64) float64 { return max(value, -value) }
+
+// baseOf returns the version that a rollout replaces: the one that the last step
+// left in use, or the one that most targets have.
+func (c *controller) baseOf(order topology.Order, last catalog.Step, exists bool) string {
+	if exists && last.Base != "" && last.Base != order.Version {
+		if last.Order == order.ID || last.Share < 1 || last.Failed {
+			return last.Base
+		}
+		return last.Version
+	}
+	counts := map[string]int{}
+	best := ""
+	for _, known := range c.view.targets {
+		if known.err != nil || known.target.Service != order.Service || known.target.Version == order.Version {
+			continue
+		}
+		version := known.target.Version
+		counts[version]++
+		if best == "" || counts[version] > counts[best] || counts[version] == counts[best] && version < best {
+			best = version
+		}
+	}
+	return best
+}
+
+// writeStatus writes the state of a rollout, conditional on the order that was read.
+func (c *controller) writeStatus(ctx context.Context, now time.Time, t *tracked, order topology.Order, state catalog.RolloutState) {
+	if t.status.busy || now.Before(t.status.next) {
+		return
+	}
+	object, found := c.replica.Object(replica.Rollouts, order.Name)
+	if !found {
+		return
+	}
+	status, err := c.options.Codec.EncodeRolloutStatus(order.Version, state)
+	if err != nil {
+		c.log.Error().Err(err).Msg("status cannot be encoded")
+		return
+	}
+	c.log.Info().Str("service", order.Service).Str("version", order.Version).RawJSON("status", status).
+		Dur("elapsed", t.elapsed(now)).Msg("rollout status")
+	c.write(ctx, &t.status, replica.Rollouts, func(ctx context.Context) (replica.Object, error) {
+		return c.options.Store.ReplaceStatus(ctx, replica.Rollouts, order.Name, object.Revision, status)
+	})
+}
--- /dev/null
+++ b/pkg/edge/settings.go
@@ -0,0 +1,63 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Settings are what a node on the platform is started with.
+type Settings struct {
+	Node       string
+	DataCentre string
+	// Regions has the region of each data centre.
+	Regions        map[string]string
+	MemoryBytes    int64
+	MaxDescriptors int
+	CallerListen   string
+	ReadyListen    string
+	// PeerListen is the address for other nodes.
+	PeerListen    string
+	MetricsListen string
+	// Seeds are peer addresses of at most three nodes, which may be down.
+	Seeds        []string
+	StoreAddress string
+	// GraceTime is the time from SIGTERM to SIGKILL.
+	GraceTime time.Duration
+	// RetryRatio and RetryExtra bound the additional arrivals at a service within
+	// RetryWindow, over all nodes.
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetryExtra  float64
+	// CanaryShare and CanarySlack bound the requests of a version that may be bad.
+	CanaryShare float64
+	CanarySlack float64
+	// ProbesPerSecond bounds the load questions to a target, over all nodes.
+	ProbesPerSecond float64
+	// WarmupFactor and WarmupSlack bound what a cold target may get beyond its rate.
+	WarmupFactor float64
+	WarmupSlack  float64
+	// ConfigurationTime is the time within which a configuration is to be in force.
+	ConfigurationTime time.Duration
+}
+
+// Check refuses settings with which the node cannot work.
+func (s *Settings) Check() error {
+	required := []struct{ key, value string }{
+		{"self.node", s.Node},
+		{"self.zone", s.DataCentre},
+		{"network.listen.front", s.CallerListen},
+		{"network.listen.ready", s.ReadyListen},
+		{"network.listen.control or network.internal-ports", s.PeerListen},
+		{"provider.provider.address", s.StoreAddress},
+	}
+	for _, field := range required {
+		if field.value == "" {
+			return errors.Errorf("%s is missing", field.key)
+		}
+	}
+	if s.GraceTime <= 0 || s.RetryWindow <= 0 {
+		return errors.New("terms.bounds.grace-s and terms.bounds.budget-window-s must be above 0")
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/edge/sync.go
@@ -0,0 +1,210 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/catalog"
+	"github.com/fireflychute/fireflychute/pkg/follow"
+	"github.com/fireflychute/fireflychute/pkg/message"
+	"github.com/fireflychute/fireflychute/pkg/replica"
+)
+
+const (
+	// fetchWait is how long a followed node may wait for a change before it answers.
+	fetchWait = 400 * time.Millisecond
+	// fetchTimeout is when a followed node counts as lost.
+	fetchTimeout = 900 * time.Millisecond
+	// avoidTime is how long a lost node is not followed, staleAvoidTime one that has
+	// lost the store.
+	avoidTime      = 2 * time.Second
+	staleAvoidTime = time.Second
+)
+
+// plan starts and stops watches and follows as the fleet requires.
+func (c *controller) plan(ctx context.Context, now time.Time) {
+	stale := now.Sub(c.heard) > staleTime
+	plan := follow.Decide(now, c.self.Name, c.view.ranked, c.avoid, c.watch.failing, stale)
+	if len(c.view.ranked) == 0 {
+		plan.Upstreams = c.seedNodes()
+	}
+	c.rollouts.leading = plan.Lead
+	switch {
+	case plan.Watch && c.watch.cancel == nil:
+		c.log.Info().Bool("stale", stale).Msg("node watches the store")
+		c.startWatching(ctx)
+	case !plan.Watch && c.watch.cancel != nil:
+		c.log.Info().Msg("node no longer watches the store")
+		c.stopWatching()
+		c.watch.failing = false
+	}
+	wanted := map[string]bool{}
+	for _, node := range plan.Upstreams {
+		wanted[node.Address] = true
+		if c.follows[node.Address] == nil {
+			following, cancel := context.WithCancel(ctx)
+			c.follows[node.Address] = cancel
+			go c.follow(following, node)
+		}
+	}
+	for address, cancel := range c.follows {
+		if !wanted[address] {
+			cancel()
+			delete(c.follows, address)
+		}
+	}
+}
+
+// seedNodes are the nodes from the settings, which are followed until others are known.
+func (c *controller) seedNodes() []catalog.Node {
+	var nodes []catalog.Node
+	for _, seed := range c.seeds {
+		if seed != c.self.Address {
+			nodes = append(nodes, catalog.Node{Name: seed, Address: seed})
+		}
+	}
+	return nodes
+}
+
+// follow takes changes from a node until the context ends.
+func (c *controller) follow(ctx context.Context, node catalog.Node) {
+	for ctx.Err() == nil {
+		var fetch *message.ReplicaFetch
+		if !c.do(ctx, func() { fetch = c.newFetch() }) {
+			return
+		}
+		answer, err := c.fetch(ctx, node.Address, fetch)
+		if ctx.Err() != nil {
+			return
+		}
+		c.do(ctx, func() { c.take(time.Now(), node, answer, err) })
+		if err != nil {
+			pause(ctx, minBackoff)
+		}
+	}
+}
+
+func (c *controller) newFetch() *message.ReplicaFetch {
+	fetch := &message.ReplicaFetch{
+		Incarnation: uint64(c.self.Incarnation), WaitMs: int(fetchWait.Milliseconds()), Counts: c.localCounts(),
+	}
+	for _, kind := range replica.Kinds() {
+		fetch.Have = append(fetch.Have, message.ReplicaRevision{Known: c.replica.Known(kind), AsOf: c.replica.AsOf(kind)})
+	}
+	return fetch
+}
+
+func (c *controller) fetch(ctx context.Context, address string, fetch *message.ReplicaFetch) (*message.ReplicaAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	received, err := c.peers.Call(ctx, address, message.Message{ReplicaFetch: fetch, Address: c.self.Address})
+	if err != nil {
+		c.peers.Disconnect(address)
+		return nil, err
+	}
+	if received.ReplicaAnswer == nil {
+		return nil, errNoAnswer
+	}
+	return received.ReplicaAnswer, nil
+}
+
+// take merges the answer of a followed node.
+func (c *controller) take(now time.Time, node catalog.Node, answer *message.ReplicaAnswer, err error) {
+	if err != nil {
+		if !now.Before(c.avoid[node.Name].AvoidUntil) {
+			c.log.Warn().Err(err).Str("node", node.Name).Msg("followed node lost")
+		}
+		c.avoid[node.Name] = follow.State{AvoidUntil: now.Add(avoidTime)}
+		return
+	}
+	age := time.Duration(answer.StaleMs) * time.Millisecond
+	if age > staleTime {
+		c.avoid[node.Name] = follow.State{AvoidUntil: now.Add(staleAvoidTime)}
+	}
+	if at := now.Add(-age); at.After(c.heard) {
+		c.heard = at
+	}
+	for i := range answer.Deltas {
+		delta, ok := deltaOf(&answer.Deltas[i])
+		if !ok {
+			c.log.Warn().Str("node", node.Name).Msg("unknown kind in the answer of a node")
+			continue
+		}
+		c.dirty = c.replica.Merge(now, delta) || c.dirty
+	}
+}
+
+func deltaOf(wire *message.ReplicaDelta) (replica.Delta, bool) {
+	if wire.Kind < 0 || wire.Kind >= len(replica.Kinds()) {
+		return replica.Delta{}, false
+	}
+	delta := replica.Delta{Kind: replica.Kind(wire.Kind), Full: wire.Full, AsOf: wire.AsOf, Removed: wire.Removed}
+	for i := range wire.Objects {
+		o := &wire.Objects[i]
+		delta.Objects = append(delta.Objects, replica.Object{
+			Name: o.Name, Revision: o.Revision, Created: o.Created, Spec: o.Spec, Status: o.Status, Lapsed: o.Lapsed,
+		})
+	}
+	return delta, true
+}
+
+func messageOf(delta replica.Delta) message.ReplicaDelta {
+	wire := message.ReplicaDelta{Kind: int(delta.Kind), Full: delta.Full, AsOf: delta.AsOf, Removed: delta.Removed}
+	for _, o := range delta.Objects {
+		wire.Objects = append(wire.Objects, message.ReplicaObject{
+			Name: o.Name, Revision: o.Revision, Created: o.Created, Spec: o.Spec, Status: o.Status, Lapsed: o.Lapsed,
+		})
+	}
+	return wire
+}
+
+// deliver answers a message of another node; it runs on the connection's goroutine.
+func (c *controller) deliver(from string, received message.Message) *message.Message {
+	fetch := received.ReplicaFetch
+	if fetch == nil || len(fetch.Have) != len(replica.Kinds()) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	wait := time.NewTimer(min(time.Duration(fetch.WaitMs)*time.Millisecond, fetchWait))
+	defer wait.Stop()
+	c.do(ctx, func() { c.noteReport(from, fetch) })
+	for {
+		changed := c.waitChannel()
+		var answer *message.ReplicaAnswer
+		if !c.do(ctx, func() { answer = c.answerTo(time.Now(), fetch) }) {
+			return nil
+		}
+		if len(answer.Deltas) > 0 {
+			return &message.Message{ReplicaAnswer: answer}
+		}
+		select {
+		case <-changed:
+		case <-wait.C:
+			return &message.Message{ReplicaAnswer: answer}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (c *controller) answerTo(now time.Time, fetch *message.ReplicaFetch) *message.ReplicaAnswer {
+	answer := &message.ReplicaAnswer{StaleMs: int(c.staleness(now).Milliseconds())}
+	for i, have := range fetch.Have {
+		delta, ok := c.replica.Since(replica.Kind(i), have.AsOf, have.Known)
+		if ok {
+			answer.Deltas = append(answer.Deltas, messageOf(delta))
+		}
+	}
+	return answer
+}
+
+// staleness is the age of the last contact with the store as other nodes are to see
+// it: a node whose own calls fail is no source, however recent its last contact.
+func (c *controller) staleness(now time.Time) time.Duration {
+	age := min(now.Sub(c.heard), time.Hour)
+	if c.watch.failing {
+		return max(age, 2*staleTime)
+	}
+	return age
+}
--- /dev/null
+++ b/pkg/edge/watch.go
@@ -0,0 +1,170 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/replica"
+)
+
+const (
+	// watchTime is how long a watch waits for a change. A watch that hangs is noticed
+	// only after it, so it stays below the bounds on configuration.
+	watchTime = 3 * time.Second
+	// watchSlack is how much later than watchTime a watch may answer.
+	watchSlack  = 700 * time.Millisecond
+	listTimeout = 3 * time.Second
+	// gatherTime is the pause after changes, so that a series of changes takes few calls.
+	gatherTime = 150 * time.Millisecond
+	// Bounds of the pause after a failed call.
+	minBackoff = 300 * time.Millisecond
+	maxBackoff = 1500 * time.Millisecond
+	// lapseMemory is how long after trouble with the store a missing entry counts as
+	// lapsed, not as removed.
+	lapseMemory = 3500 * time.Millisecond
+)
+
+// watchState is the state of the node's own watches. It belongs to the control goroutine.
+type watchState struct {
+	cancel context.CancelFunc
+	// failing tells that the last call to the store failed, troubleAt when the last failed.
+	failing   bool
+	troubleAt time.Time
+	// relist tells which kinds have to be read as a whole.
+	relist map[replica.Kind]bool
+}
+
+// startWatching starts a watch on each kind.
+func (c *controller) startWatching(ctx context.Context) {
+	ctx, c.watch.cancel = context.WithCancel(ctx)
+	c.watch.relist = map[replica.Kind]bool{}
+	for _, kind := range replica.Kinds() {
+		go c.watchKind(ctx, kind)
+	}
+}
+
+func (c *controller) stopWatching() {
+	c.watch.cancel()
+	c.watch.cancel = nil
+}
+
+// watchKind keeps one kind up to date until the context ends.
+func (c *controller) watchKind(ctx context.Context, kind replica.Kind) {
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		if !c.mayCall(ctx, kind) {
+			pause(ctx, minBackoff)
+			continue
+		}
+		changed, err := c.step(ctx, kind)
+		switch {
+		case err != nil:
+			pause(ctx, backoff/2+rand.N(backoff))
+			backoff = min(2*backoff, maxBackoff)
+		case changed:
+			backoff = minBackoff
+			pause(ctx, gatherTime)
+		default:
+			backoff = minBackoff
+		}
+	}
+}
+
+// mayCall tells whether the watch of a kind may call the store. While the store
+// fails, only the watch of one kind goes on asking.
+func (c *controller) mayCall(ctx context.Context, kind replica.Kind) bool {
+	allowed := false
+	c.do(ctx, func() { allowed = !c.watch.failing || kind == replica.Configurations })
+	return allowed
+}
+
+// step makes one call for a kind.
+func (c *controller) step(ctx context.Context, kind replica.Kind) (changed bool, err error) {
+	var known bool
+	var from uint64
+	c.do(ctx, func() {
+		known = c.replica.Known(kind) && !c.watch.relist[kind]
+		from = c.replica.AsOf(kind)
+	})
+	if !known {
+		return c.list(ctx, kind)
+	}
+	began := time.Now()
+	call, cancel := context.WithTimeout(ctx, watchTime+watchSlack)
+	defer cancel()
+	events, asOf, err := c.options.Store.Watch(call, kind, from, watchTime)
+	if ctx.Err() != nil {
+		return false, nil
+	}
+	if errors.Is(err, ErrHistoryGone) {
+		c.do(ctx, func() { c.watch.relist[kind] = true })
+		c.log.Info().Int("kind", int(kind)).Uint64("from", from).Msg("store forgot the changes; the kind is read again")
+		return false, nil
+	}
+	c.do(ctx, func() {
+		now := time.Now()
+		c.noteStore(now, err)
+		if err != nil {
+			return
+		}
+		changed = c.replica.Apply(now, kind, asOf, events, c.mayLapse(now, began))
+		c.dirty = c.dirty || changed
+	})
+	return changed, err
+}
+
+func (c *controller) list(ctx context.Context, kind replica.Kind) (changed bool, err error) {
+	began := time.Now()
+	call, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	objects, asOf, err := c.options.Store.List(call, kind)
+	if ctx.Err() != nil {
+		return false, nil
+	}
+	c.do(ctx, func() {
+		now := time.Now()
+		c.noteStore(now, err)
+		if err != nil {
+			return
+		}
+		delete(c.watch.relist, kind)
+		changed = c.replica.Replace(now, kind, asOf, objects, c.mayLapse(now, began))
+		c.dirty = c.dirty || changed
+	})
+	return false, err
+}
+
+// mayLapse tells whether entries that are missing may have lapsed with the store.
+func (c *controller) mayLapse(now, began time.Time) bool {
+	slow := now.Sub(began) > watchTime+watchSlack/2
+	return slow || !c.watch.troubleAt.IsZero() && now.Sub(c.watch.troubleAt) < lapseMemory
+}
+
+// noteStore notes the result of a call to the store.
+func (c *controller) noteStore(now time.Time, err error) {
+	if err != nil {
+		c.watch.troubleAt = now
+		if !c.watch.failing {
+			c.watch.failing = true
+			c.log.Warn().Err(err).Msg("store lost")
+		}
+		return
+	}
+	c.heard = now
+	if c.watch.failing {
+		c.watch.failing = false
+		c.log.Info().Dur("away", now.Sub(c.watch.troubleAt)).Msg("store regained")
+	}
+}
+
+// pause waits for a time or for the end of the context.
+func pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/pkg/forward/call.go
@@ -0,0 +1,185 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/topology"
+)
+
+const (
+	// repeatableBytes is the largest body that is kept to be sent once more.
+	repeatableBytes = 1 << 20
+	// Range of Retry-After on refusals. Callers that come back at once would meet the
+	// same load, and the spread keeps them from returning together.
+	minRetryAfter = 0.10 // seconds
+	maxRetryAfter = 0.40 // seconds
+)
+
+// call is one request of a caller.
+type call struct {
+	handler  *Handler
+	w        http.ResponseWriter
+	request  *http.Request
+	topology *topology.Topology
+	route    *topology.Route
+	service  *topology.Service
+	began    time.Time
+	deadline time.Time
+	ctx      context.Context
+
+	// body is what was read of the caller's body; rest is what follows it when the
+	// body is too large to be kept.
+	body []byte
+	rest io.Reader
+
+	tried []*topology.Target
+	// sent counts the sends that count as an attempt at a target.
+	sent int
+	// unknown tells that an earlier send may have run.
+	unknown bool
+	record  Record
+}
+
+// readBody reads the caller's body before a target is chosen, so that a slow
+// caller holds no target.
+func (c *call) readBody() bool {
+	if c.request.ContentLength == 0 {
+		return true
+	}
+	limit := c.topology.Configuration.Limits.MaxBodyBytes
+	reader := io.Reader(c.request.Body)
+	if limit > 0 {
+		reader = http.MaxBytesReader(c.w, c.request.Body, limit)
+	}
+	if limit > 0 && c.request.ContentLength > limit {
+		return c.refuse(http.StatusRequestEntityTooLarge, ReasonTooLarge)
+	}
+	control := http.NewResponseController(c.w)
+	_ = control.SetReadDeadline(c.deadline) // fails only where the connection cannot have one
+	body, err := io.ReadAll(io.LimitReader(reader, repeatableBytes))
+	_ = control.SetReadDeadline(time.Time{})
+	c.body = body
+	if err != nil {
+		return c.bodyFailed(err)
+	}
+	if len(body) == repeatableBytes {
+		c.rest = reader
+	}
+	return true
+}
+
+func (c *call) bodyFailed(err error) bool {
+	var tooLarge *http.MaxBytesError
+	c.w.Header().Set("Connection", "close")
+	switch {
+	case errors.As(err, &tooLarge):
+		return c.refuse(http.StatusRequestEntityTooLarge, ReasonTooLarge)
+	case !time.Now().Before(c.deadline):
+		return c.refuse(http.StatusRequestTimeout, ReasonBodyTimeout)
+	default:
+		return c.refuse(http.StatusBadRequest, ReasonBodyBroken)
+	}
+}
+
+// serve sends the request to targets until there is an answer or no further send
+// is allowed.
+func (c *call) serve() {
+	c.service = withRandom(c.handler, c.route.Pick)
+	c.record.Service = c.service.Name
+	window := c.handler.window(c.service.Name, c.began)
+	window.Request(c.began)
+	for {
+		chosen, reason := c.place()
+		if chosen == nil {
+			c.giveUp(reason)
+			return
+		}
+		if c.send(chosen) {
+			return
+		}
+		reason = c.mayRepeat(window.Take)
+		if reason != "" {
+			c.giveUp(reason)
+			return
+		}
+	}
+}
+
+// mayRepeat returns why the request may not be sent once more, or nothing. The
+// last try decides: one that did not reach a target costs no budget.
+func (c *call) mayRepeat(take func(now time.Time, ratio, extra float64) bool) string {
+	last := &c.record.Tries[len(c.record.Tries)-1]
+	options := &c.handler.options
+	switch {
+	case c.request.Context().Err() != nil:
+		return ReasonCallerLeft
+	case c.ctx.Err() != nil:
+		return ReasonTimeout
+	case !last.NotRun && !c.route.Idempotent:
+		return last.Failure
+	case c.rest != nil:
+		return last.Failure
+	case c.sent >= c.route.Attempts:
+		return ReasonAttempts
+	case last.NotRun && last.Status == 0:
+		return ""
+	case !take(time.Now(), options.RetryRatio, options.RetryExtra/float64(c.topology.Fleet)):
+		return ReasonBudget
+	default:
+		return ""
+	}
+}
+
+// giveUp answers a request for which there is no further send. It was not run only
+// if no earlier send may have run it.
+func (c *call) giveUp(reason string) {
+	switch {
+	case c.request.Context().Err() != nil:
+		c.record.Outcome, c.record.Reason = OutcomeUnknown, ReasonCallerLeft
+		panic(http.ErrAbortHandler)
+	case !c.unknown:
+		c.refuse(http.StatusServiceUnavailable, reason)
+	case c.ctx.Err() != nil:
+		c.answer(http.StatusGatewayTimeout, OutcomeUnknown, ReasonTimeout)
+	default:
+		c.answer(http.StatusBadGateway, OutcomeUnknown, reason)
+	}
+}
+
+// refuse answers a request that has not run. It returns false for its callers' sake.
+func (c *call) refuse(status int, reason string) bool {
+	if status == http.StatusServiceUnavailable {
+		after := minRetryAfter + withRandom(c.handler, randomFraction)*(maxRetryAfter-minRetryAfter)
+		c.w.Header().Set("Retry-After", strconv.FormatFloat(after, 'f', 2, 64))
+	}
+	return c.answer(status, OutcomeNotRun, reason)
+}
+
+// answer sends an answer of the node's own.
+func (c *call) answer(status int, outcome, reason string) bool {
+	c.record.Status, c.record.Outcome, c.record.Reason = status, outcome, reason
+	header := c.w.Header()
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set("Content-Length", strconv.Itoa(len(reason)+1))
+	c.w.WriteHeader(status)
+	_, _ = io.WriteString(c.w, reason+"\n") // a caller that left is seen at its connection
+	return false
+}
+
+// outgoingBody returns the body for one send.
+func (c *call) outgoingBody() (io.Reader, int64) {
+	switch {
+	case c.rest != nil:
+		return io.MultiReader(bytes.NewReader(c.body), c.rest), c.request.ContentLength
+	case len(c.body) == 0:
+		return nil, 0
+	default:
+		return bytes.NewReader(c.body), int64(len(c.body))
+	}
+}
--- /dev/null
+++ b/pkg/forward/handler.go
@@ -0,0 +1,124 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/retry"
+	"github.com/fireflychute/fireflychute/pkg/topology"
+	"github.com/fireflychute/fireflychute/pkg/transport"
+)
+
+// Options are what a Handler works with; all are required.
+type Options struct {
+	// Published is the topology in force; nil until the first is known.
+	Published *atomic.Pointer[topology.Topology]
+	Client    *transport.Client
+	Protocol  Protocol
+	Observer  Observer
+	// RetryRatio, RetryExtra and RetryWindow are the fleet's retry budget per service.
+	RetryRatio  float64
+	RetryExtra  float64
+	RetryWindow time.Duration
+	Random      rand.Source
+}
+
+// Handler serves callers.
+type Handler struct {
+	options  Options
+	randomMu sync.Mutex
+	random   *rand.Rand
+	windows  sync.Map // service name -> *retry.Window
+	inFlight atomic.Int64
+	stopping atomic.Bool
+	refusing atomic.Bool
+}
+
+// NewHandler returns a handler.
+func NewHandler(options Options) *Handler {
+	return &Handler{options: options, random: rand.New(options.Random)}
+}
+
+// InFlight returns the number of requests that are being served.
+func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
+
+// Stop makes all further answers close their connection.
+func (h *Handler) Stop() { h.stopping.Store(true) }
+
+// Refuse makes all further requests be refused as not run.
+func (h *Handler) Refuse() { h.refusing.Store(true) }
+
+// withRandom runs a function with the handler's random source.
+func withRandom[T any](h *Handler, draw func(*rand.Rand) T) T {
+	h.randomMu.Lock()
+	defer h.randomMu.Unlock()
+	return draw(h.random)
+}
+
+func (h *Handler) window(service string, now time.Time) *retry.Window {
+	known, ok := h.windows.Load(service)
+	if !ok {
+		known, _ = h.windows.LoadOrStore(service, retry.NewWindow(h.options.RetryWindow, now))
+	}
+	return known.(*retry.Window)
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	c := &call{handler: h, w: w, request: r, began: time.Now()}
+	defer func() { h.options.Observer.Ended(&c.record) }()
+	if h.stopping.Load() || len(r.TransferEncoding) > 0 && r.Header.Get("Content-Length") != "" {
+		w.Header().Set("Connection", "close")
+	}
+	if !c.match() || !c.readBody() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	c.ctx = ctx
+	c.serve()
+}
+
+// match resolves the route. It answers the request itself when it returns false.
+func (c *call) match() bool {
+	h, r := c.handler, c.request
+	info := h.options.Protocol.ReadRequest(r.Header)
+	c.record = Record{ID: info.ID, Began: c.began}
+	c.topology = h.options.Published.Load()
+	switch {
+	case h.refusing.Load():
+		c.w.Header().Set("Connection", "close")
+		return c.refuse(http.StatusServiceUnavailable, ReasonStopping)
+	case c.topology == nil:
+		return c.refuse(http.StatusServiceUnavailable, ReasonNoConfiguration)
+	case info.ID == "":
+		return c.refuse(http.StatusBadRequest, ReasonNoID)
+	}
+	c.record.Version = c.topology.Configuration.Version
+	c.route = c.topology.Match(hostOf(r), r.URL.Path)
+	if c.route == nil {
+		return c.refuse(http.StatusNotFound, ReasonNoRoute)
+	}
+	c.record.Route = c.route.Name
+	c.deadline = c.began.Add(c.route.Timeout)
+	if info.Timeout > 0 && info.Timeout < c.route.Timeout {
+		c.deadline = c.began.Add(info.Timeout)
+	}
+	return true
+}
+
+// hostOf returns the host of a request without the port.
+func hostOf(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.Host)
+	if err != nil {
+		return r.Host
+	}
+	return host
+}
--- /dev/null
+++ b/pkg/forward/protocol.go
@@ -0,0 +1,55 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+)
+
+// Protocol translates the headers of callers and targets.
+type Protocol interface {
+	// ReadRequest reads a caller's headers.
+	ReadRequest(header http.Header) RequestInfo
+	// WriteRequest replaces the headers that the node sets on a request to a target.
+	WriteRequest(header http.Header, id, target string, left time.Duration)
+	// ReadAnswer reads a target's answer.
+	ReadAnswer(status int, header http.Header) AnswerInfo
+	// ReadHealth reads the answer to a load question.
+	ReadHealth(status int, header http.Header) Health
+}
+
+// RequestInfo is what a caller's headers say.
+type RequestInfo struct {
+	// ID is the request's id, empty when there is none.
+	ID string
+	// Timeout is how long the caller waits, 0 when it does not say.
+	Timeout time.Duration
+}
+
+// AnswerInfo is what a target's headers say.
+type AnswerInfo struct {
+	// RequestID is the id of the request that is answered.
+	RequestID string
+	// Genuine answers carry the target's signature and are not re-encoded.
+	Genuine bool
+	// NotRun answers state that the request has not run.
+	NotRun bool
+	// OtherTarget tells that the address belongs to another target now.
+	OtherTarget bool
+	// PromisesNotRun tells that callers take the status for a statement that the
+	// request has not run.
+	PromisesNotRun bool
+}
+
+// Health is a target's answer to a load question.
+type Health struct {
+	// Target is the id of the target that answered.
+	Target string
+	// Healthy targets say that they take requests.
+	Healthy bool
+	// Known tells that the load is told; the next four fields are valid only then.
+	Known                   bool
+	Running, Waiting, Slots int
+	Slowness                float64
+	// WarmupLeft is how long the target stays cold.
+	WarmupLeft time.Duration
+}
--- /dev/null
+++ b/pkg/forward/record.go
@@ -0,0 +1,77 @@
+package forward
+
+import "time"
+
+// Reasons of the node's own answers.
+const (
+	ReasonStopping        = "node is stopping"
+	ReasonNoConfiguration = "node has no configuration yet"
+	ReasonNoID            = "request has no id"
+	ReasonNoRoute         = "no route"
+	ReasonTooLarge        = "body is larger than the limit"
+	ReasonBodyTimeout     = "body did not arrive in time"
+	ReasonBodyBroken      = "body broke off"
+	ReasonNoTarget        = "no target"
+	ReasonNoRoom          = "no target has room"
+	ReasonNotAnswering    = "no target answers load questions"
+	ReasonTimeout         = "timeout passed"
+	ReasonAttempts        = "attempts used up"
+	ReasonBudget          = "retry budget used up"
+	ReasonCallerLeft      = "caller left"
+	ReasonBroken          = "target broke off"
+	ReasonWrongAnswer     = "target answered with something else"
+)
+
+// Outcomes of a request.
+const (
+	OutcomeAnswered = "answered"
+	OutcomeNotRun   = "not-run"
+	OutcomeUnknown  = "unknown"
+)
+
+// Record is what was decided on one request and why.
+type Record struct {
+	ID    string
+	Began time.Time
+	// Version is the configuration that decided, Route its route.
+	Version uint64
+	Route   string
+	Service string
+	Status  int
+	Outcome string
+	Reason  string
+	Tries   []Try
+	// Bytes is the size of the answer's body.
+	Bytes int64
+}
+
+// Try is one send of a request.
+type Try struct {
+	Target  string
+	Version string
+	// Canary tells that the version is being rolled out, Order which rollout it is.
+	Canary bool
+	Order  uint64
+	// Cold tells that the target was cold.
+	Cold bool
+	// Asked and Heard count the targets that were asked for their load and that answered.
+	Asked, Heard int
+	// Cost is the estimate on which the target was chosen; Age how old its load was.
+	Cost    float64
+	Age     time.Duration
+	Status  int
+	Latency time.Duration
+	// Failed tells that the target did not answer well.
+	Failed bool
+	// NotRun tells that the request certainly did not run there.
+	NotRun  bool
+	Failure string
+}
+
+// Observer is told what became of requests. Its methods must not block.
+type Observer interface {
+	// Ended is called when a request has ended.
+	Ended(record *Record)
+	// Asked is called for each load question.
+	Asked(failed bool)
+}
--- a/pkg/message/codec_gen.go
+++ b/pkg/message/codec_gen.go
@@ -174,6 +174,136 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *CanaryCount) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 7
+	// string "canary"
+	o = append(o, 0x87, 0xa6, 0x63, 0x61, 0x6e, 0x61, 0x72, 0x79)
+	o = msgp.AppendBool(o, z.Canary)
+	// string "failures"
+	o = append(o, 0xa8, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x73)
+	o = msgp.AppendUint64(o, z.Failures)
+	// string "latencies"
+	o = append(o, 0xa9, 0x6c, 0x61, 0x74, 0x65, 0x6e, 0x63, 0x69, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Latencies)))
+	for za0001 := range z.Latencies {
+		o = msgp.AppendUint64(o, z.Latencies[za0001])
+	}
+	// string "order"
+	o = append(o, 0xa5, 0x6f, 0x72, 0x64, 0x65, 0x72)
+	o = msgp.AppendUint64(o, z.Order)
+	// string "requests"
+	o = append(o, 0xa8, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74, 0x73)
+	o = msgp.AppendUint64(o, z.Requests)
+	// string "route"
+	o = append(o, 0xa5, 0x72, 0x6f, 0x75, 0x74, 0x65)
+	o = msgp.AppendString(o, z.Route)
+	// string "service"
+	o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CanaryCount) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "canary":
+			z.Canary, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Canary")
+				return
+			}
+		case "failures":
+			z.Failures, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Failures")
+				return
+			}
+		case "latencies":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Latencies")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Latencies) >= int(zb0002) {
+				z.Latencies = (z.Latencies)[:zb0002]
+			} else {
+				z.Latencies = make([]uint64, zb0002)
+			}
+			for za0001 := range z.Latencies {
+				z.Latencies[za0001], bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Latencies", za0001)
+					return
+				}
+			}
+		case "order":
+			z.Order, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Order")
+				return
+			}
+		case "requests":
+			z.Requests, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Requests")
+				return
+			}
+		case "route":
+			z.Route, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Route")
+				return
+			}
+		case "service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *CanaryCount) Msgsize() (s int) {
+	s = 1 + 7 + msgp.BoolSize + 9 + msgp.Uint64Size + 10 + msgp.ArrayHeaderSize + (len(z.Latencies) * (msgp.Uint64Size)) + 6 + msgp.Uint64Size + 9 + msgp.Uint64Size + 6 + msgp.StringPrefixSize + len(z.Route) + 8 + msgp.StringPrefixSize + len(z.Service)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *ConfigBlob) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1172,8 +1302,8 @@
 func (z *Message) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(13)
-	var zb0001Mask uint16 /* 13 bits */
+	zb0001Len := uint32(15)
+	var zb0001Mask uint16 /* 15 bits */
 	_ = zb0001Mask
 	if z.Ack == nil {
 		zb0001Len--
@@ -1199,22 +1329,30 @@
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
-	if z.SyncReply == nil {
+	if z.ReplicaAnswer == nil {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
-	if z.SyncRequest == nil {
+	if z.ReplicaFetch == nil {
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
-	if z.VmAnswer == nil {
+	if z.SyncReply == nil {
 		zb0001Len--
 		zb0001Mask |= 0x800
 	}
-	if z.VmFetch == nil {
+	if z.SyncRequest == nil {
 		zb0001Len--
 		zb0001Mask |= 0x1000
 	}
+	if z.VmAnswer == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2000
+	}
+	if z.VmFetch == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1307,6 +1445,41 @@
 			}
 		}
 		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "replicaAnswer"
+			o = append(o, 0xad, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x41, 0x6e, 0x73, 0x77, 0x65, 0x72)
+			if z.ReplicaAnswer == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				// map header, size 2
+				// string "deltas"
+				o = append(o, 0x82, 0xa6, 0x64, 0x65, 0x6c, 0x74, 0x61, 0x73)
+				o = msgp.AppendArrayHeader(o, uint32(len(z.ReplicaAnswer.Deltas)))
+				for za0001 := range z.ReplicaAnswer.Deltas {
+					o, err = z.ReplicaAnswer.Deltas[za0001].MarshalMsg(o)
+					if err != nil {
+						err = msgp.WrapError(err, "ReplicaAnswer", "Deltas", za0001)
+						return
+					}
+				}
+				// string "staleMs"
+				o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x6c, 0x65, 0x4d, 0x73)
+				o = msgp.AppendInt(o, z.ReplicaAnswer.StaleMs)
+			}
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "replicaFetch"
+			o = append(o, 0xac, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x46, 0x65, 0x74, 0x63, 0x68)
+			if z.ReplicaFetch == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.ReplicaFetch.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "ReplicaFetch")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// string "syncReply"
 			o = append(o, 0xa9, 0x73, 0x79, 0x6e, 0x63, 0x52, 0x65, 0x70, 0x6c, 0x79)
 			if z.SyncReply == nil {
@@ -1319,7 +1492,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
 			// string "syncRequest"
 			o = append(o, 0xab, 0x73, 0x79, 0x6e, 0x63, 0x52, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
 			if z.SyncRequest == nil {
@@ -1332,7 +1505,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x800) == 0 { // if not omitted
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
 			// string "vmAnswer"
 			o = append(o, 0xa8, 0x76, 0x6d, 0x41, 0x6e, 0x73, 0x77, 0x65, 0x72)
 			if z.VmAnswer == nil {
@@ -1344,7 +1517,7 @@
 				o = msgp.AppendBytes(o, z.VmAnswer.List)
 			}
 		}
-		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
 			// string "vmFetch"
 			o = append(o, 0xa7, 0x76, 0x6d, 0x46, 0x65, 0x74, 0x63, 0x68)
 			if z.VmFetch == nil {
@@ -1529,6 +1702,90 @@
 					return
 				}
 			}
+		case "replicaAnswer":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.ReplicaAnswer = nil
+			} else {
+				if z.ReplicaAnswer == nil {
+					z.ReplicaAnswer = new(ReplicaAnswer)
+				}
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "ReplicaAnswer")
+					return
+				}
+				if zb0003 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "ReplicaAnswer")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "deltas":
+						var zb0004 uint32
+						zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "ReplicaAnswer", "Deltas")
+							return
+						}
+						if zb0004 > zf88ce922limitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if cap(z.ReplicaAnswer.Deltas) >= int(zb0004) {
+							z.ReplicaAnswer.Deltas = (z.ReplicaAnswer.Deltas)[:zb0004]
+						} else {
+							z.ReplicaAnswer.Deltas = make([]ReplicaDelta, zb0004)
+						}
+						for za0001 := range z.ReplicaAnswer.Deltas {
+							bts, err = z.ReplicaAnswer.Deltas[za0001].UnmarshalMsg(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "ReplicaAnswer", "Deltas", za0001)
+								return
+							}
+						}
+					case "staleMs":
+						z.ReplicaAnswer.StaleMs, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "ReplicaAnswer", "StaleMs")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "ReplicaAnswer")
+							return
+						}
+					}
+				}
+			}
+		case "replicaFetch":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.ReplicaFetch = nil
+			} else {
+				if z.ReplicaFetch == nil {
+					z.ReplicaFetch = new(ReplicaFetch)
+				}
+				bts, err = z.ReplicaFetch.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "ReplicaFetch")
+					return
+				}
+			}
 		case "syncReply":
 			if msgp.IsNil(bts) {
 				bts, err = msgp.ReadNilBytes(bts)
@@ -1574,18 +1831,18 @@
 				if z.VmAnswer == nil {
 					z.VmAnswer = new(VmAnswer)
 				}
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "VmAnswer")
 					return
 				}
-				if zb0003 > zf88ce922limitMaps {
+				if zb0005 > zf88ce922limitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
+				for zb0005 > 0 {
+					zb0005--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "VmAnswer")
@@ -1593,27 +1850,27 @@
 					}
 					switch msgp.UnsafeString(field) {
 					case "list":
-						var zb0004 uint32
-						zb0004, bts, err = msgp.ReadBytesHeader(bts)
+						var zb0006 uint32
+						zb0006, bts, err = msgp.ReadBytesHeader(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "VmAnswer", "List")
 							return
 						}
-						if zb0004 > zf88ce922limitArrays {
+						if zb0006 > zf88ce922limitArrays {
 							err = msgp.ErrLimitExceeded
 							return
 						}
-						if z.VmAnswer.List == nil || uint32(cap(z.VmAnswer.List)) < zb0004 {
-							z.VmAnswer.List = make([]byte, zb0004)
+						if z.VmAnswer.List == nil || uint32(cap(z.VmAnswer.List)) < zb0006 {
+							z.VmAnswer.List = make([]byte, zb0006)
 						} else {
-							z.VmAnswer.List = z.VmAnswer.List[:zb0004]
+							z.VmAnswer.List = z.VmAnswer.List[:zb0006]
 						}
-						if uint32(len(bts)) < zb0004 {
+						if uint32(len(bts)) < zb0006 {
 							err = msgp.ErrShortBytes
 							return
 						}
-						copy(z.VmAnswer.List, bts[:zb0004])
-						bts = bts[zb0004:]
+						copy(z.VmAnswer.List, bts[:zb0006])
+						bts = bts[zb0006:]
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -1634,18 +1891,18 @@
 				if z.VmFetch == nil {
 					z.VmFetch = new(VmFetch)
 				}
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "VmFetch")
 					return
 				}
-				if zb0005 > zf88ce922limitMaps {
+				if zb0007 > zf88ce922limitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0005 > 0 {
-					zb0005--
+				for zb0007 > 0 {
+					zb0007--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "VmFetch")
@@ -1717,6 +1974,22 @@
 	} else {
 		s += z.PingRequest.Msgsize()
 	}
+	s += 14
+	if z.ReplicaAnswer == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 7 + msgp.ArrayHeaderSize
+		for za0001 := range z.ReplicaAnswer.Deltas {
+			s += z.ReplicaAnswer.Deltas[za0001].Msgsize()
+		}
+		s += 8 + msgp.IntSize
+	}
+	s += 13
+	if z.ReplicaFetch == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.ReplicaFetch.Msgsize()
+	}
 	s += 10
 	if z.SyncReply == nil {
 		s += msgp.NilSize
@@ -2138,6 +2411,610 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *ReplicaAnswer) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "deltas"
+	o = append(o, 0x82, 0xa6, 0x64, 0x65, 0x6c, 0x74, 0x61, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Deltas)))
+	for za0001 := range z.Deltas {
+		o, err = z.Deltas[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Deltas", za0001)
+			return
+		}
+	}
+	// string "staleMs"
+	o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x6c, 0x65, 0x4d, 0x73)
+	o = msgp.AppendInt(o, z.StaleMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ReplicaAnswer) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "deltas":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Deltas")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Deltas) >= int(zb0002) {
+				z.Deltas = (z.Deltas)[:zb0002]
+			} else {
+				z.Deltas = make([]ReplicaDelta, zb0002)
+			}
+			for za0001 := range z.Deltas {
+				bts, err = z.Deltas[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Deltas", za0001)
+					return
+				}
+			}
+		case "staleMs":
+			z.StaleMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "StaleMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ReplicaAnswer) Msgsize() (s int) {
+	s = 1 + 7 + msgp.ArrayHeaderSize
+	for za0001 := range z.Deltas {
+		s += z.Deltas[za0001].Msgsize()
+	}
+	s += 8 + msgp.IntSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ReplicaDelta) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "asOf"
+	o = append(o, 0x85, 0xa4, 0x61, 0x73, 0x4f, 0x66)
+	o = msgp.AppendUint64(o, z.AsOf)
+	// string "full"
+	o = append(o, 0xa4, 0x66, 0x75, 0x6c, 0x6c)
+	o = msgp.AppendBool(o, z.Full)
+	// string "kind"
+	o = append(o, 0xa4, 0x6b, 0x69, 0x6e, 0x64)
+	o = msgp.AppendInt(o, z.Kind)
+	// string "objects"
+	o = append(o, 0xa7, 0x6f, 0x62, 0x6a, 0x65, 0x63, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Objects)))
+	for za0001 := range z.Objects {
+		o, err = z.Objects[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Objects", za0001)
+			return
+		}
+	}
+	// string "removed"
+	o = append(o, 0xa7, 0x72, 0x65, 0x6d, 0x6f, 0x76, 0x65, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Removed)))
+	for za0002 := range z.Removed {
+		o = msgp.AppendString(o, z.Removed[za0002])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ReplicaDelta) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "asOf":
+			z.AsOf, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AsOf")
+				return
+			}
+		case "full":
+			z.Full, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Full")
+				return
+			}
+		case "kind":
+			z.Kind, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Kind")
+				return
+			}
+		case "objects":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Objects")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Objects) >= int(zb0002) {
+				z.Objects = (z.Objects)[:zb0002]
+			} else {
+				z.Objects = make([]ReplicaObject, zb0002)
+			}
+			for za0001 := range z.Objects {
+				bts, err = z.Objects[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Objects", za0001)
+					return
+				}
+			}
+		case "removed":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Removed")
+				return
+			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Removed) >= int(zb0003) {
+				z.Removed = (z.Removed)[:zb0003]
+			} else {
+				z.Removed = make([]string, zb0003)
+			}
+			for za0002 := range z.Removed {
+				z.Removed[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Removed", za0002)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ReplicaDelta) Msgsize() (s int) {
+	s = 1 + 5 + msgp.Uint64Size + 5 + msgp.BoolSize + 5 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Objects {
+		s += z.Objects[za0001].Msgsize()
+	}
+	s += 8 + msgp.ArrayHeaderSize
+	for za0002 := range z.Removed {
+		s += msgp.StringPrefixSize + len(z.Removed[za0002])
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ReplicaFetch) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "counts"
+	o = append(o, 0x84, 0xa6, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Counts)))
+	for za0001 := range z.Counts {
+		o, err = z.Counts[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Counts", za0001)
+			return
+		}
+	}
+	// string "have"
+	o = append(o, 0xa4, 0x68, 0x61, 0x76, 0x65)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Have)))
+	for za0002 := range z.Have {
+		// map header, size 2
+		// string "asOf"
+		o = append(o, 0x82, 0xa4, 0x61, 0x73, 0x4f, 0x66)
+		o = msgp.AppendUint64(o, z.Have[za0002].AsOf)
+		// string "known"
+		o = append(o, 0xa5, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+		o = msgp.AppendBool(o, z.Have[za0002].Known)
+	}
+	// string "incarnation"
+	o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.Incarnation)
+	// string "waitMs"
+	o = append(o, 0xa6, 0x77, 0x61, 0x69, 0x74, 0x4d, 0x73)
+	o = msgp.AppendInt(o, z.WaitMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ReplicaFetch) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "counts":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Counts")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Counts) >= int(zb0002) {
+				z.Counts = (z.Counts)[:zb0002]
+			} else {
+				z.Counts = make([]CanaryCount, zb0002)
+			}
+			for za0001 := range z.Counts {
+				bts, err = z.Counts[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Counts", za0001)
+					return
+				}
+			}
+		case "have":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Have")
+				return
+			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Have) >= int(zb0003) {
+				z.Have = (z.Have)[:zb0003]
+			} else {
+				z.Have = make([]ReplicaRevision, zb0003)
+			}
+			for za0002 := range z.Have {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Have", za0002)
+					return
+				}
+				if zb0004 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Have", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "asOf":
+						z.Have[za0002].AsOf, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Have", za0002, "AsOf")
+							return
+						}
+					case "known":
+						z.Have[za0002].Known, bts, err = msgp.ReadBoolBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Have", za0002, "Known")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Have", za0002)
+							return
+						}
+					}
+				}
+			}
+		case "incarnation":
+			z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Incarnation")
+				return
+			}
+		case "waitMs":
+			z.WaitMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WaitMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ReplicaFetch) Msgsize() (s int) {
+	s = 1 + 7 + msgp.ArrayHeaderSize
+	for za0001 := range z.Counts {
+		s += z.Counts[za0001].Msgsize()
+	}
+	s += 5 + msgp.ArrayHeaderSize + (len(z.Have) * (12 + msgp.Uint64Size + msgp.BoolSize)) + 12 + msgp.Uint64Size + 7 + msgp.IntSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ReplicaObject) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "created"
+	o = append(o, 0x86, 0xa7, 0x63, 0x72, 0x65, 0x61, 0x74, 0x65, 0x64)
+	o = msgp.AppendUint64(o, z.Created)
+	// string "lapsed"
+	o = append(o, 0xa6, 0x6c, 0x61, 0x70, 0x73, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Lapsed)
+	// string "name"
+	o = append(o, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	o = msgp.AppendString(o, z.Name)
+	// string "revision"
+	o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.Revision)
+	// string "spec"
+	o = append(o, 0xa4, 0x73, 0x70, 0x65, 0x63)
+	o = msgp.AppendBytes(o, z.Spec)
+	// string "status"
+	o = append(o, 0xa6, 0x73, 0x74, 0x61, 0x74, 0x75, 0x73)
+	o = msgp.AppendBytes(o, z.Status)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ReplicaObject) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "created":
+			z.Created, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Created")
+				return
+			}
+		case "lapsed":
+			z.Lapsed, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Lapsed")
+				return
+			}
+		case "name":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "revision":
+			z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Revision")
+				return
+			}
+		case "spec":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Spec")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Spec == nil || uint32(cap(z.Spec)) < zb0002 {
+				z.Spec = make([]byte, zb0002)
+			} else {
+				z.Spec = z.Spec[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Spec, bts[:zb0002])
+			bts = bts[zb0002:]
+		case "status":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Status")
+				return
+			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Status == nil || uint32(cap(z.Status)) < zb0003 {
+				z.Status = make([]byte, zb0003)
+			} else {
+				z.Status = z.Status[:zb0003]
+			}
+			if uint32(len(bts)) < zb0003 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Status, bts[:zb0003])
+			bts = bts[zb0003:]
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ReplicaObject) Msgsize() (s int) {
+	s = 1 + 8 + msgp.Uint64Size + 7 + msgp.BoolSize + 5 + msgp.StringPrefixSize + len(z.Name) + 9 + msgp.Uint64Size + 5 + msgp.BytesPrefixSize + len(z.Spec) + 7 + msgp.BytesPrefixSize + len(z.Status)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ReplicaRevision) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "asOf"
+	o = append(o, 0x82, 0xa4, 0x61, 0x73, 0x4f, 0x66)
+	o = msgp.AppendUint64(o, z.AsOf)
+	// string "known"
+	o = append(o, 0xa5, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	o = msgp.AppendBool(o, z.Known)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ReplicaRevision) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "asOf":
+			z.AsOf, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AsOf")
+				return
+			}
+		case "known":
+			z.Known, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Known")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ReplicaRevision) Msgsize() (s int) {
+	s = 1 + 5 + msgp.Uint64Size + 6 + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *RolloutCount) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/pkg/message/types_gen.go
+++ b/pkg/message/types_gen.go
@@ -26,6 +26,31 @@
 	Revision uint64 `msg:"revision"`
 }
 
+// Requests of one route to one side of a rollout since the node saw the order. The
+// counts only grow.
+type CanaryCount struct {
+	// Requests to the version that is rolled out, as opposed to the one in use.
+	Canary bool `msg:"canary"`
+
+	// Those that failed.
+	Failures uint64 `msg:"failures"`
+
+	// Requests by latency bucket; only those to warm targets.
+	Latencies []uint64 `msg:"latencies"`
+
+	// Identity of the order.
+	Order uint64 `msg:"order"`
+
+	// Requests that ended.
+	Requests uint64 `msg:"requests"`
+
+	// Route.
+	Route string `msg:"route"`
+
+	// Service.
+	Service string `msg:"service"`
+}
+
 // One spec.
 type ConfigBlob struct {
 	// Its digest.
@@ -175,6 +200,12 @@
 	// PingRequest corresponds to the JSON schema field "pingRequest".
 	PingRequest *PingRequest `msg:"pingRequest,omitempty"`
 
+	// ReplicaAnswer corresponds to the JSON schema field "replicaAnswer".
+	ReplicaAnswer *ReplicaAnswer `msg:"replicaAnswer,omitempty"`
+
+	// ReplicaFetch corresponds to the JSON schema field "replicaFetch".
+	ReplicaFetch *ReplicaFetch `msg:"replicaFetch,omitempty"`
+
 	// SyncReply corresponds to the JSON schema field "syncReply".
 	SyncReply *SyncReply `msg:"syncReply,omitempty"`
 
@@ -237,6 +268,79 @@
 	Target string `msg:"target"`
 }
 
+// Answers a fetch.
+type ReplicaAnswer struct {
+	// What changed, by kind.
+	Deltas []ReplicaDelta `msg:"deltas"`
+
+	// Age of the answering node's last contact with the store, in milliseconds.
+	StaleMs int `msg:"staleMs"`
+}
+
+// What changed in one kind.
+type ReplicaDelta struct {
+	// Store revision after the change.
+	AsOf uint64 `msg:"asOf"`
+
+	// The objects are the whole kind.
+	Full bool `msg:"full"`
+
+	// Number of the kind.
+	Kind int `msg:"kind"`
+
+	// New and changed objects.
+	Objects []ReplicaObject `msg:"objects"`
+
+	// Names of removed objects.
+	Removed []string `msg:"removed"`
+}
+
+// Asks for what changed in the copy of the store's objects, and reports on
+// rollouts.
+type ReplicaFetch struct {
+	// Outcomes of the rollouts in progress.
+	Counts []CanaryCount `msg:"counts"`
+
+	// What the sender knows, by kind.
+	Have []ReplicaRevision `msg:"have"`
+
+	// Incarnation of the sender.
+	Incarnation uint64 `msg:"incarnation"`
+
+	// How long the answer may wait for a change, in milliseconds.
+	WaitMs int `msg:"waitMs"`
+}
+
+// One object of the store.
+type ReplicaObject struct {
+	// Revision of the creation.
+	Created uint64 `msg:"created"`
+
+	// Disappeared while the store was away and may come back.
+	Lapsed bool `msg:"lapsed"`
+
+	// Name.
+	Name string `msg:"name"`
+
+	// Revision of the last change.
+	Revision uint64 `msg:"revision"`
+
+	// Spec as it was written.
+	Spec []byte `msg:"spec"`
+
+	// Status as it was written.
+	Status []byte `msg:"status"`
+}
+
+// How much of one kind of objects a node knows.
+type ReplicaRevision struct {
+	// Store revision up to which it is known.
+	AsOf uint64 `msg:"asOf"`
+
+	// The kind was read at least once.
+	Known bool `msg:"known"`
+}
+
 // Counts of one route and version since the previous report.
 type RolloutCount struct {
 	// Those that failed.
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -122,3 +122,14 @@
 	delete(c.links, l.to)
 	return true
 }
+
+// Disconnect ends the connection to a peer, for example when it has become silent.
+// Calls that wait on it fail with ErrDisconnected; the next message dials anew.
+func (c *Client) Disconnect(to string) {
+	c.mu.Lock()
+	l := c.links[to]
+	c.mu.Unlock()
+	if l != nil {
+		l.abort()
+	}
+}
--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -14,7 +14,7 @@
 type Message = message.Message
 
 // MaxFrameBytes is the largest message, without its length.
-const MaxFrameBytes = 1 << 20
+const MaxFrameBytes = 4 << 20
 
 const headerBytes = 4
 
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,6 +26,8 @@
 	to     string
 	queue  chan queued
 	active *connection
+	// dialed is the same connection for abort, which runs on other goroutines.
+	dialed atomic.Pointer[connection]
 }
 
 // connection is one TCP connection with the calls that await answers on it.
@@ -93,6 +96,7 @@
 		return failed("dial", l.to, err)
 	}
 	l.active = &connection{Conn: raw, traffic: &l.client.traffic, waiting: map[uint64]chan result{}}
+	l.dialed.Store(l.active)
 	l.client.done.Add(1)
 	go func(c *connection) {
 		defer l.client.done.Done()
@@ -101,6 +105,14 @@
 	return nil
 }
 
+// abort closes the connection; its reader then ends it.
+func (l *link) abort() {
+	dialed := l.dialed.Load()
+	if dialed != nil {
+		_ = dialed.Close()
+	}
+}
+
 func (l *link) disconnect() {
 	if l.active != nil {
 		l.active.end(ErrDisconnected)
--- /dev/null
+++ b/pkg/placement/placement.go
@@ -0,0 +1,90 @@
+// Package placement chooses a target on answers to load questions that were asked
+// just before. It answers load that shifts within milliseconds: an older report
+// says little, and the least loaded of a few random targets is nearly as good as
+// the least loaded of all without all nodes choosing the same one.
+package placement
+
+import "math/rand/v2"
+
+const (
+	// busyShare is the share of used slots above which targets slow down.
+	busyShare = 0.8
+	// busyFactor is how much slower a target with more used slots is taken to be.
+	busyFactor = 1.7
+	// coldFactor is how much slower a cold target is taken to be.
+	coldFactor = 2.0
+	// failureCost is how many times longer a request takes that fails every time,
+	// so that targets which fail fast do not look fast.
+	failureCost = 12.0
+	// localGain is how much slower a target in the same data centre may be than one
+	// in another and still be preferred.
+	localGain = 1.15
+)
+
+// Candidate is a target with the load that it has just told.
+type Candidate struct {
+	// Running, Waiting and Slots are the requests at the target.
+	Running, Waiting, Slots int
+	// Slowness is how long work takes there now, 1 as usual.
+	Slowness float64
+	// Pending are requests of this node that the target has not counted yet.
+	Pending int
+	Cold    bool
+	// Local targets are in the data centre of the node.
+	Local bool
+	// FailureRate is the part of this node's late requests that failed there.
+	FailureRate float64
+	// Pace is the latency there compared with the other targets', 1 as usual.
+	Pace float64
+}
+
+// Cost estimates how long a request takes at the candidate, 1 at an idle target.
+func Cost(c Candidate) float64 {
+	slots := max(1, c.Slots)
+	ahead := c.Running + c.Waiting + c.Pending
+	cost := c.Slowness * max(1, c.Pace)
+	if float64(ahead+1) > busyShare*float64(slots) {
+		cost *= busyFactor
+	}
+	if queued := ahead + 1 - slots; queued > 0 {
+		cost *= 1 + float64(queued)/float64(slots)
+	}
+	if c.Cold {
+		cost *= coldFactor
+	}
+	if !c.Local {
+		cost *= localGain
+	}
+	return cost * (1 + failureCost*c.FailureRate)
+}
+
+// HasRoom tells whether a candidate takes a request that may find up to waiting
+// requests per slot in the queue.
+func HasRoom(c Candidate, waiting float64) bool {
+	queued := c.Running + c.Waiting + c.Pending - c.Slots
+	return float64(queued) < waiting*float64(max(1, c.Slots))
+}
+
+// QueueShare returns how many requests per slot may wait before a route of a
+// priority is refused. Less urgent routes are refused first, so that under
+// overload they never take the room of more urgent ones.
+func QueueShare(priority int) float64 {
+	switch {
+	case priority <= 0:
+		return 1.5
+	case priority == 1:
+		return 1.25
+	default:
+		return 1
+	}
+}
+
+// Sample moves up to count random elements to the front and returns them.
+func Sample[T any](random *rand.Rand, all []T, count int) []T {
+	count = min(count, len(all))
+	for i := range count {
+		j := i + random.IntN(len(all)-i)
+		all[i], all[j] = all[j], all[i]
+	}
+	return all[:count]
+}
--- /dev/null
+++ b/pkg/replica/replica.go
@@ -0,0 +1,283 @@
+// Package replica keeps a node's copy of the platform's objects. It only moves
+// forward: late answers, old peers and restarted watches never replace a newer
+// object. It does no I/O and belongs to the control goroutine.
+package replica
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Kind is a kind of objects.
+type Kind int
+
+// The kinds that a node keeps.
+const (
+	Configurations Kind = iota
+	Targets
+	Rollouts
+	Evacuations
+	Nodes
+	Steps
+	kindCount
+)
+
+// Kinds returns all kinds.
+func Kinds() []Kind {
+	return []Kind{Configurations, Targets, Rollouts, Evacuations, Nodes, Steps}
+}
+
+const (
+	// lapseTime is how long an object is kept that disappeared while the store was
+	// away. Instances that live register again within about two seconds.
+	lapseTime = 2500 * time.Millisecond
+	// maxRemovals bounds the removals that are kept for peers that lag behind; a
+	// peer that lags further receives the whole kind.
+	maxRemovals = 1024
+)
+
+// Object is one object of the platform. Spec and Status are as they were written.
+type Object struct {
+	Name string
+	// Revision is the store's revision of the last change, Created that of the creation.
+	Revision uint64
+	Created  uint64
+	Spec     []byte
+	Status   []byte
+	// Lapsed objects disappeared while the store was away and may come back.
+	Lapsed bool
+}
+
+// Event is a change of one object.
+type Event struct {
+	Object  Object
+	Deleted bool
+}
+
+// Delta is what changed in a kind. A full delta is the whole kind.
+type Delta struct {
+	Kind    Kind
+	Full    bool
+	AsOf    uint64
+	Objects []Object
+	Removed []string
+}
+
+// removal is a removed object. Peers that know the kind up to a lower revision
+// than asOf have to be told; created is when the removed object had been created.
+type removal struct {
+	name    string
+	asOf    uint64
+	created uint64
+}
+
+type table struct {
+	known    bool
+	asOf     uint64
+	objects  map[string]Object
+	removals []removal
+	// floor is the revision before which removals are not known any more.
+	floor uint64
+	// expiry is when lapsed objects are removed.
+	expiry map[string]time.Time
+}
+
+// Replica is the copy. The zero value is not usable; use New.
+type Replica struct {
+	tables [kindCount]table
+}
+
+// New returns an empty replica.
+func New() *Replica {
+	r := &Replica{}
+	for kind := range r.tables {
+		r.tables[kind].objects = map[string]Object{}
+		r.tables[kind].expiry = map[string]time.Time{}
+	}
+	return r
+}
+
+// Known tells whether a kind was read at least once.
+func (r *Replica) Known(kind Kind) bool { return r.tables[kind].known }
+
+// AsOf returns the store's revision up to which a kind is known.
+func (r *Replica) AsOf(kind Kind) uint64 { return r.tables[kind].asOf }
+
+// Object returns one object.
+func (r *Replica) Object(kind Kind, name string) (Object, bool) {
+	object, ok := r.tables[kind].objects[name]
+	return object, ok
+}
+
+// Objects returns the objects of a kind, ordered by name.
+func (r *Replica) Objects(kind Kind) []Object {
+	names := slices.Sorted(maps.Keys(r.tables[kind].objects))
+	objects := make([]Object, 0, len(names))
+	for _, name := range names {
+		objects = append(objects, r.tables[kind].objects[name])
+	}
+	return objects
+}
+
+// Replace takes in a list of a whole kind, as of a revision. With lapse, objects
+// that are missing lapse instead of being removed at once. It returns whether
+// anything changed.
+func (r *Replica) Replace(now time.Time, kind Kind, asOf uint64, objects []Object, lapse bool) bool {
+	t := &r.tables[kind]
+	if t.known && asOf < t.asOf {
+		return false
+	}
+	changed := !t.known
+	listed := make(map[string]bool, len(objects))
+	for _, object := range objects {
+		listed[object.Name] = true
+		changed = t.put(now, object) || changed
+	}
+	for name, object := range t.objects {
+		if !listed[name] && object.Revision <= asOf {
+			changed = t.disappear(now, name, asOf, lapse) || changed
+		}
+	}
+	t.known, t.asOf = true, asOf
+	return changed
+}
+
+// Apply takes in events that bring a kind up to a revision.
+func (r *Replica) Apply(now time.Time, kind Kind, asOf uint64, events []Event, lapse bool) bool {
+	t := &r.tables[kind]
+	changed := false
+	for _, event := range events {
+		if event.Deleted {
+			changed = t.deleted(now, event.Object, asOf, lapse) || changed
+			continue
+		}
+		changed = t.put(now, event.Object) || changed
+	}
+	t.asOf = max(t.asOf, asOf)
+	return changed
+}
+
+// Put takes in one object that this node has written or read by itself. It does
+// not move the revision up to which the kind is known.
+func (r *Replica) Put(now time.Time, kind Kind, object Object) bool {
+	return r.tables[kind].put(now, object)
+}
+
+// Merge takes in what a peer sent.
+func (r *Replica) Merge(now time.Time, delta Delta) bool {
+	t := &r.tables[delta.Kind]
+	if delta.Full {
+		return r.Replace(now, delta.Kind, delta.AsOf, delta.Objects, false)
+	}
+	changed := false
+	for _, object := range delta.Objects {
+		changed = t.put(now, object) || changed
+	}
+	for _, name := range delta.Removed {
+		current, ok := t.objects[name]
+		if ok && current.Revision <= delta.AsOf {
+			changed = t.remove(name, delta.AsOf) || changed
+		}
+	}
+	t.asOf = max(t.asOf, delta.AsOf)
+	return changed
+}
+
+// Since returns what a peer lacks that knows a kind up to a revision. ok is false
+// when there is nothing to send.
+func (r *Replica) Since(kind Kind, have uint64, known bool) (delta Delta, ok bool) {
+	t := &r.tables[kind]
+	if !t.known || known && have >= t.asOf {
+		return Delta{}, false
+	}
+	delta = Delta{Kind: kind, AsOf: t.asOf, Full: !known || have < t.floor}
+	for _, object := range r.Objects(kind) {
+		if delta.Full || object.Revision > have {
+			delta.Objects = append(delta.Objects, object)
+		}
+	}
+	for _, removed := range t.removals {
+		if !delta.Full && removed.asOf > have {
+			delta.Removed = append(delta.Removed, removed.name)
+		}
+	}
+	return delta, true
+}
+
+// Expire removes lapsed objects whose time is over.
+func (r *Replica) Expire(now time.Time) bool {
+	changed := false
+	for kind := range r.tables {
+		t := &r.tables[kind]
+		for name, at := range t.expiry {
+			if !now.Before(at) {
+				changed = t.remove(name, t.asOf) || changed
+			}
+		}
+	}
+	return changed
+}
+
+func (t *table) put(now time.Time, object Object) bool {
+	current, exists := t.objects[object.Name]
+	if exists && current.Revision >= object.Revision {
+		return false
+	}
+	if !exists && t.wasRemoved(object) {
+		return false
+	}
+	t.objects[object.Name] = object
+	delete(t.expiry, object.Name)
+	if object.Lapsed {
+		t.expiry[object.Name] = now.Add(lapseTime)
+	}
+	return true
+}
+
+// wasRemoved tells whether the object, as it was created then, is known to be gone.
+// An entry that comes back was created anew.
+func (t *table) wasRemoved(object Object) bool {
+	return slices.ContainsFunc(t.removals, func(r removal) bool {
+		return r.name == object.Name && r.created >= object.Created
+	})
+}
+
+// deleted follows the store's report that an object is gone. The report may carry
+// the revision of the object's last change in place of that of the removal.
+func (t *table) deleted(now time.Time, object Object, asOf uint64, lapse bool) bool {
+	current, exists := t.objects[object.Name]
+	if !exists || current.Created > object.Revision {
+		return false
+	}
+	return t.disappear(now, object.Name, asOf, lapse)
+}
+
+func (t *table) disappear(now time.Time, name string, revision uint64, lapse bool) bool {
+	if !lapse {
+		return t.remove(name, revision)
+	}
+	object := t.objects[name]
+	if object.Lapsed {
+		return false
+	}
+	object.Lapsed, object.Revision = true, max(revision, object.Revision)
+	t.objects[name] = object
+	t.expiry[name] = now.Add(lapseTime)
+	return true
+}
+
+func (t *table) remove(name string, asOf uint64) bool {
+	current, exists := t.objects[name]
+	if !exists {
+		return false
+	}
+	delete(t.objects, name)
+	delete(t.expiry, name)
+	t.removals = append(t.removals, removal{name, asOf, current.Created})
+	if len(t.removals) > maxRemovals {
+		t.floor = t.removals[0].asOf
+		t.removals = slices.Delete(t.removals, 0, 1)
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/topology/build.go
@@ -0,0 +1,191 @@
+package topology
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/catalog"
+)
+
+// unknownVersionTime is how long a version that appeared beside another one waits
+// for an order before it counts as an ordinary one. Instances of a new version and
+// the order to roll it out arrive on different watches, in any order.
+const unknownVersionTime = 3 * time.Second
+
+// Input is what a topology is made from.
+type Input struct {
+	Now           time.Time
+	Configuration *catalog.Configuration
+	Targets       []catalog.Target
+	// Orders are the rollouts by service, Steps their progress by service.
+	Orders    map[string]Order
+	Steps     map[string]catalog.Step
+	Evacuated map[string]bool
+	// Fleet is the number of nodes.
+	Fleet int
+}
+
+// Order is a rollout with the name of its object and an identity that differs
+// between orders.
+type Order struct {
+	catalog.Rollout
+	Name string
+	ID   uint64
+}
+
+// Builder makes topologies and keeps what was observed of targets between them.
+// It belongs to the control goroutine.
+type Builder struct {
+	dataCentre string
+	regions    map[string]string
+	observed   map[targetKey]*Observed
+	versions   map[versionKey]time.Time
+}
+
+type targetKey struct {
+	id          string
+	address     string
+	incarnation int64
+}
+
+type versionKey struct{ service, version string }
+
+// NewBuilder returns a builder for a node in a data centre. regions has the region
+// of each data centre.
+func NewBuilder(dataCentre string, regions map[string]string) *Builder {
+	return &Builder{
+		dataCentre: dataCentre, regions: regions,
+		observed: map[targetKey]*Observed{}, versions: map[versionKey]time.Time{},
+	}
+}
+
+// Build returns the topology of an input.
+func (b *Builder) Build(in Input) *Topology {
+	t := &Topology{
+		Configuration: in.Configuration, Fleet: max(1, in.Fleet),
+		Services: map[string]*Service{}, hosts: map[string][]*Route{},
+	}
+	for name, service := range in.Configuration.Services {
+		t.Services[name] = &Service{Service: service}
+	}
+	b.addTargets(t, in)
+	for _, route := range in.Configuration.Routes {
+		t.addRoute(route)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return t
+}
+
+func (t *Topology) addRoute(route catalog.Route) {
+	added := &Route{Route: route}
+	for _, part := range route.Parts {
+		added.Services = append(added.Services, t.Services[part.Service])
+		added.weight += part.Weight
+	}
+	t.hosts[route.Host] = append(t.hosts[route.Host], added)
+}
+
+func (b *Builder) addTargets(t *Topology, in Input) {
+	b.noteVersions(in)
+	addresses := newest(in.Targets)
+	kept := map[targetKey]*Observed{}
+	for _, entry := range in.Targets {
+		service := t.Services[entry.Service]
+		if service == nil || addresses[entry.Address] != entry.ID {
+			continue
+		}
+		key := targetKey{entry.ID, entry.Address, entry.Incarnation}
+		observed := b.observed[key]
+		if observed == nil {
+			observed = &Observed{}
+		}
+		kept[key] = observed
+		if entry.Leaving {
+			observed.Leave()
+		}
+		if entry.Leaving || in.Evacuated[entry.DataCentre] {
+			continue
+		}
+		b.place(t, service, in, &Target{
+			Target: entry, Local: entry.DataCentre == b.dataCentre, Region: b.regions[entry.DataCentre],
+			Connections: max(minConnections, service.MaxConnections/t.Fleet), Observed: observed,
+		})
+	}
+	b.observed = kept
+}
+
+// minConnections is the least number of connections of a node to a target: a
+// question and a request at the same time.
+const minConnections = 2
+
+// newest returns the target that owns each address: addresses of targets that are
+// gone are used again.
+func newest(targets []catalog.Target) map[string]string {
+	owners := map[string]catalog.Target{}
+	for _, entry := range targets {
+		owner, taken := owners[entry.Address]
+		if !taken || entry.Incarnation > owner.Incarnation {
+			owners[entry.Address] = entry
+		}
+	}
+	ids := map[string]string{}
+	for address, owner := range owners {
+		ids[address] = owner.ID
+	}
+	return ids
+}
+
+// place puts a target into the version in use or the one that is rolled out.
+func (b *Builder) place(t *Topology, service *Service, in Input, target *Target) {
+	order, ordered := in.Orders[target.Service]
+	step, stepped := in.Steps[target.Service]
+	switch {
+	case !ordered:
+		if !b.isSettled(in.Now, target) {
+			return
+		}
+		service.Main = append(service.Main, target)
+	case order.State == catalog.RolloutComplete:
+		if target.Version == order.Version {
+			service.Main = append(service.Main, target)
+		}
+	case target.Version == order.Version:
+		if order.State == catalog.RolloutRolledBack || !stepped || step.Order != order.ID || step.Version != order.Version || step.Failed {
+			return
+		}
+		service.Canary = append(service.Canary, target)
+		service.CanaryShare, service.CanaryVersion, service.Order = step.Share, order.Version, order.ID
+	case stepped && step.Base != "" && target.Version != step.Base:
+		return // left over from a rollout that another order replaced
+	default:
+		service.Main = append(service.Main, target)
+	}
+}
+
+func (b *Builder) noteVersions(in Input) {
+	for _, entry := range in.Targets {
+		key := versionKey{entry.Service, entry.Version}
+		_, seen := b.versions[key]
+		if !seen {
+			b.versions[key] = in.Now
+		}
+	}
+}
+
+// isSettled tells whether a target's version was there from the beginning or long
+// enough for an order about it to have arrived.
+func (b *Builder) isSettled(now time.Time, target *Target) bool {
+	seen := b.versions[versionKey{target.Service, target.Version}]
+	if now.Sub(seen) >= unknownVersionTime {
+		return true
+	}
+	for key, other := range b.versions {
+		if key.service == target.Service && other.Before(seen) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/topology/observed.go
@@ -0,0 +1,153 @@
+package topology
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/warmup"
+)
+
+const (
+	// firstHold is how long a target is left alone after a failed question; each
+	// further failure doubles it up to maxHold.
+	firstHold = 300 * time.Millisecond
+	maxHold   = 4 * time.Second
+	// failureWeight is the weight of the latest request in the failure rate.
+	failureWeight = 0.2
+	// failureHalfLife is the time in which a failure rate fades by half without requests.
+	failureHalfLife = 2 * time.Second
+	// paceWeight is the weight of the latest latency in the average.
+	paceWeight = 0.2
+	// learntColdTime is how long a target counts as cold after it said so itself.
+	minColdTime = 50 * time.Millisecond
+)
+
+// Observed is what this node has seen of one start of a target. It is shared by
+// all topologies and by all requests.
+type Observed struct {
+	mu        sync.Mutex
+	pending   int
+	misses    int
+	heldUntil time.Time
+	leaving   bool
+	coldUntil time.Time
+	limiter   warmup.Limiter
+	failure   float64
+	failureAt time.Time
+	latency   float64 // seconds, average
+}
+
+// View is a consistent copy of what was observed.
+type View struct {
+	Pending     int
+	Held        bool
+	Leaving     bool
+	Cold        bool
+	FailureRate float64
+	// Latency is the average latency in seconds, 0 when unknown.
+	Latency float64
+}
+
+// View returns what is known now.
+func (o *Observed) View(now time.Time) View {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return View{
+		Pending: o.pending, Held: now.Before(o.heldUntil), Leaving: o.leaving,
+		Cold: now.Before(o.coldUntil), FailureRate: o.fadedFailure(now), Latency: o.latency,
+	}
+}
+
+// Begin counts a request that is about to be sent; End must follow.
+func (o *Observed) Begin() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.pending++
+}
+
+// End counts the end of a request with its latency. A latency of 0 says nothing.
+func (o *Observed) End(now time.Time, failed bool, latency time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.pending--
+	rate := o.fadedFailure(now) * (1 - failureWeight)
+	if failed {
+		rate += failureWeight
+	}
+	o.failure, o.failureAt = rate, now
+	if failed || latency <= 0 {
+		return
+	}
+	if o.latency == 0 {
+		o.latency = latency.Seconds()
+	}
+	o.latency += paceWeight * (latency.Seconds() - o.latency)
+}
+
+// Abandon counts the end of a request that says nothing about the target.
+func (o *Observed) Abandon() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.pending--
+}
+
+func (o *Observed) fadedFailure(now time.Time) float64 {
+	halves := now.Sub(o.failureAt) / failureHalfLife
+	if halves > 10 {
+		return 0
+	}
+	rate := o.failure
+	for range halves {
+		rate /= 2
+	}
+	return rate
+}
+
+// Missed holds the target back after a question or a connection failed.
+func (o *Observed) Missed(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.misses = min(o.misses+1, 10)
+	o.heldUntil = now.Add(min(firstHold<<(o.misses-1), maxHold))
+}
+
+// Answered ends the hold.
+func (o *Observed) Answered() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.misses = 0
+}
+
+// Leave takes the target out until its next start.
+func (o *Observed) Leave() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.leaving = true
+}
+
+// Warmup notes for how long the target says that it stays cold; 0 means warm.
+func (o *Observed) Warmup(now time.Time, left, interval time.Duration, phase float64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if left < minColdTime {
+		o.coldUntil = time.Time{}
+		o.limiter.Stop()
+		return
+	}
+	o.coldUntil = now.Add(left)
+	o.limiter.Start(now, interval, phase)
+}
+
+// MayTake tells whether a request may be sent now as far as the warm-up allows.
+func (o *Observed) MayTake(now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !now.Before(o.coldUntil) || o.limiter.Ready(now)
+}
+
+// Take uses a turn of the warm-up; a warm target always has one.
+func (o *Observed) Take(now time.Time, interval time.Duration) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !now.Before(o.coldUntil) || o.limiter.Take(now, interval)
+}
--- /dev/null
+++ b/pkg/topology/topology.go
@@ -0,0 +1,96 @@
+// Package topology is what requests are routed by: an immutable view of the
+// configuration and of the targets that may be used, made by the control
+// goroutine and read by traffic without locks.
+package topology
+
+import (
+	"math/rand/v2"
+	"strings"
+
+	"github.com/fireflychute/fireflychute/pkg/catalog"
+)
+
+// Topology is one version of the view.
+type Topology struct {
+	Configuration *catalog.Configuration
+	// Fleet is the number of nodes by which shared budgets are divided.
+	Fleet    int
+	Services map[string]*Service
+	hosts    map[string][]*Route
+}
+
+// Route is a route with the services that it leads to.
+type Route struct {
+	catalog.Route
+	Services []*Service
+	weight   float64
+}
+
+// Service is the targets of one service that may be used.
+type Service struct {
+	catalog.Service
+	// Main are the targets of the version in use, Canary those of the version that
+	// is being rolled out.
+	Main   []*Target
+	Canary []*Target
+	// CanaryShare is the part of the requests for Canary; CanaryVersion its name.
+	CanaryShare   float64
+	CanaryVersion string
+	// Order identifies the rollout.
+	Order uint64
+}
+
+// Target is a target that may be used.
+type Target struct {
+	catalog.Target
+	// Local targets are in the data centre of the node.
+	Local bool
+	// Region is the region of the target's data centre.
+	Region string
+	// Connections is this node's part of the connections that the target accepts.
+	Connections int
+	Observed    *Observed
+}
+
+// Match returns the route of a host and a path: the one with the longest prefix.
+func (t *Topology) Match(host, path string) *Route {
+	for _, route := range t.hosts[host] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Pick draws one of the route's services by weight.
+func (r *Route) Pick(random *rand.Rand) *Service {
+	left := random.Float64() * r.weight
+	for i, part := range r.Parts {
+		left -= part.Weight
+		if left < 0 {
+			return r.Services[i]
+		}
+	}
+	return r.Services[len(r.Services)-1]
+}
+
+// Draw decides whether a request goes to the version that is being rolled out.
+func (s *Service) Draw(random *rand.Rand) (targets []*Target, canary bool) {
+	if s.CanaryShare > 0 && len(s.Canary) > 0 && random.Float64() < s.CanaryShare {
+		return s.Canary, true
+	}
+	return s.Main, false
+}
+
+// Allows tells whether the route may use a target's region.
+func (r *Route) Allows(target *Target) bool {
+	if len(r.Regions) == 0 {
+		return true
+	}
+	for _, region := range r.Regions {
+		if region == target.Region {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/transport/client.go
+++ b/pkg/transport/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -38,6 +39,8 @@
 type Client struct {
 	dial  func(ctx context.Context, network, address string) (net.Conn, error)
 	peers sync.Map // address -> *peer
+
+	idleTime time.Duration
 }
 
 // peer is the connections to one target.
@@ -47,10 +50,46 @@
 	open      atomic.Int64
 }
 
+// Options are the times of a client's connections; 0 takes the default.
+type Options struct {
+	// IdleTime is how long an unused connection is kept.
+	IdleTime time.Duration
+	// Silence is how long a connection may stay without an acknowledgement by the
+	// target before it counts as broken; 0 leaves that to the system.
+	Silence time.Duration
+}
+
 // NewClient returns a client without connections.
 func NewClient() *Client {
+	return NewClientWith(Options{})
+}
+
+// NewClientWith is NewClient with other times than the default.
+func NewClientWith(options Options) *Client {
 	dialer := &net.Dialer{Timeout: dialTime}
-	return &Client{dial: dialer.DialContext}
+	if options.Silence > 0 {
+		dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: options.Silence, Interval: time.Second, Count: 2}
+		dialer.Control = userTimeout(options.Silence)
+	}
+	if options.IdleTime == 0 {
+		options.IdleTime = idleTime
+	}
+	return &Client{dial: dialer.DialContext, idleTime: options.IdleTime}
+}
+
+// userTimeout makes a connection break when data stays unacknowledged for a time. A
+// target behind a partition would otherwise hold it for minutes.
+func userTimeout(limit time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var failure error
+		err := raw.Control(func(fd uintptr) {
+			failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return failure
+	}
 }
 
 // Forget closes the idle connections to a target that is no longer known.
@@ -87,7 +126,7 @@
 		},
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    1 << 20, // the limit is enforced at the dial
-		IdleConnTimeout:        idleTime,
+		IdleConnTimeout:        c.idleTime,
 		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
 		ReadBufferSize:         readBufferBytes,
 	}
