Replace a lost watcher until a fetch from it works again

Ruled out: a shorter pause (the gap stays), all nodes watching (calls grow with the fleet). Before: configuration in force 4.1 s after the acknowledgement on some nodes. Conclusion: a lost node is tried beside its replacement.

--- a/pkg/edge/controller.go
+++ b/pkg/edge/controller.go
@@ -27,7 +27,7 @@
 	tickTime = 100 * time.Millisecond
 	// staleTime is the age of the last contact with the store, own or through other
 	// nodes, from which on a node looks for the store by itself.
-	staleTime = 5 * time.Second
+	staleTime = 4 * time.Second
 )
 
 // controller owns the control state of the node. All its state belongs to one
@@ -51,7 +51,7 @@
 	seeds   []string
 	self    catalog.Node
 	follows map[string]context.CancelFunc
-	avoid   map[string]follow.State
+	sources map[string]follow.State
 	// heard is when the store was last reached, by this node or by one that it follows.
 	heard time.Time
 
@@ -96,7 +96,7 @@
 			Name: settings.Node, Address: settings.PeerListen, DataCentre: settings.DataCentre,
 			Incarnation: rand.Int64N(1 << 52),
 		},
-		follows: map[string]context.CancelFunc{}, avoid: map[string]follow.State{},
+		follows: map[string]context.CancelFunc{}, sources: map[string]follow.State{},
 		rollouts: newRolloutState(), changed: make(chan struct{}),
 	}
 }
--- a/pkg/edge/sync.go
+++ b/pkg/edge/sync.go
@@ -15,16 +15,12 @@
 	fetchWait = 400 * time.Millisecond
 	// fetchTimeout is when a followed node counts as lost.
 	fetchTimeout = 900 * time.Millisecond
-	// avoidTime is how long a lost node is not followed, staleAvoidTime one that has
-	// lost the store.
-	avoidTime      = 2 * time.Second
-	staleAvoidTime = time.Second
 )
 
 // plan starts and stops watches and follows as the fleet requires.
 func (c *controller) plan(ctx context.Context, now time.Time) {
 	stale := now.Sub(c.heard) > staleTime
-	plan := follow.Decide(now, c.self.Name, c.view.ranked, c.avoid, c.watch.failing, stale)
+	plan := follow.Decide(now, c.self.Name, c.view.ranked, c.sources, c.watch.failing, stale)
 	if len(c.view.ranked) == 0 {
 		plan.Upstreams = c.seedNodes()
 	}
@@ -110,16 +106,21 @@
 
 // take merges the answer of a followed node.
 func (c *controller) take(now time.Time, node catalog.Node, answer *message.ReplicaAnswer, err error) {
+	state := c.sources[node.Name]
 	if err != nil {
-		if !now.Before(c.avoid[node.Name].AvoidUntil) {
-			c.log.Warn().Err(err).Str("node", node.Name).Msg("followed node lost")
+		if !state.IsLost() {
+			c.log.Warn().Err(err).Str("peer", node.Name).Msg("followed node lost")
 		}
-		c.avoid[node.Name] = follow.State{AvoidUntil: now.Add(avoidTime)}
+		c.sources[node.Name] = state.Lost(now)
 		return
 	}
 	age := time.Duration(answer.StaleMs) * time.Millisecond
-	if age > staleTime {
-		c.avoid[node.Name] = follow.State{AvoidUntil: now.Add(staleAvoidTime)}
+	switch {
+	case age > staleTime:
+		c.sources[node.Name] = state.Lost(now)
+	case state.IsLost():
+		c.log.Info().Str("peer", node.Name).Dur("age", age).Msg("followed node regained")
+		c.sources[node.Name] = follow.State{}
 	}
 	if at := now.Add(-age); at.After(c.heard) {
 		c.heard = at
@@ -127,7 +128,7 @@
 	for i := range answer.Deltas {
 		delta, ok := deltaOf(&answer.Deltas[i])
 		if !ok {
-			c.log.Warn().Str("node", node.Name).Msg("unknown kind in the answer of a node")
+			c.log.Warn().Str("peer", node.Name).Msg("unknown kind in the answer of a node")
 			continue
 		}
 		c.dirty = c.replica.Merge(now, delta) || c.dirty
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -11,8 +11,10 @@
 
 const (
 	// watchTime is how long a watch waits for a change. A watch that hangs is noticed
-	// only after it, so it stays below the bounds on configuration.
-	watchTime = 3 * time.Second
+	// only after it, so it stays near the bounds on configuration and leaving targets.
+	watchTime = 2 * time.Second
+	// slowWatchTime is the same for kinds without such a bound.
+	slowWatchTime = 3 * time.Second
 	// watchSlack is how much later than watchTime a watch may answer.
 	watchSlack  = 700 * time.Millisecond
 	listTimeout = 3 * time.Second
@@ -92,9 +94,10 @@
 		return c.list(ctx, kind)
 	}
 	began := time.Now()
-	call, cancel := context.WithTimeout(ctx, watchTime+watchSlack)
+	wait := watchTimeOf(kind)
+	call, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	events, asOf, err := c.options.Store.Watch(call, kind, from, watchTime)
+	events, asOf, err := c.options.Store.Watch(call, kind, from, wait)
 	if ctx.Err() != nil {
 		return false, nil
 	}
@@ -136,9 +139,16 @@
 	return false, err
 }
 
+func watchTimeOf(kind replica.Kind) time.Duration {
+	if kind == replica.Nodes || kind == replica.Steps {
+		return slowWatchTime
+	}
+	return watchTime
+}
+
 // mayLapse tells whether entries that are missing may have lapsed with the store.
 func (c *controller) mayLapse(now, began time.Time) bool {
-	slow := now.Sub(began) > watchTime+watchSlack/2
+	slow := now.Sub(began) > slowWatchTime+watchSlack/2
 	return slow || !c.watch.troubleAt.IsZero() && now.Sub(c.watch.troubleAt) < lapseMemory
 }
 
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -18,19 +18,38 @@
 // Watchers is how many nodes watch the store while all is well.
 const Watchers = 2
 
-// State is what a node knows of another one as a source of changes.
+// Bounds of the pause before a lost node is tried again.
+const (
+	firstPause = time.Second
+	maxPause   = 8 * time.Second
+)
+
+// State is what a node knows of another one as a source of changes. The zero value
+// is a node that is taken to work.
 type State struct {
-	// AvoidUntil is until when it is not used: it did not answer or has lost the store.
-	AvoidUntil time.Time
+	lost    bool
+	misses  int
+	retryAt time.Time
+}
+
+// Lost returns the state after a fetch failed, or showed that the node has no
+// recent contact with the store. A lost node counts as a source again only after a
+// fetch that works, so that its place among the watchers is filled meanwhile.
+func (s State) Lost(now time.Time) State {
+	pause := min(firstPause<<min(s.misses, 6), maxPause)
+	return State{lost: true, misses: s.misses + 1, retryAt: now.Add(pause)}
 }
 
+// IsLost tells whether the node is no source at present.
+func (s State) IsLost() bool { return s.lost }
+
 // Plan is where a node takes changes from.
 type Plan struct {
 	// Watch tells whether the node watches the store.
 	Watch bool
 	// Lead tells whether the node leads the rollouts.
 	Lead bool
-	// Upstreams are the nodes to follow.
+	// Upstreams are the nodes to follow, lost ones that are tried again included.
 	Upstreams []catalog.Node
 }
 
@@ -61,13 +80,11 @@
 func Decide(now time.Time, self string, ranked []catalog.Node, states map[string]State, storeLost, stale bool) Plan {
 	plan := Plan{Watch: stale}
 	usable := 0
-	listed := false
 	for _, node := range ranked {
 		if usable == Watchers {
 			break
 		}
 		if node.Name == self {
-			listed = true
 			plan.Watch = true
 			if !storeLost {
 				plan.Lead = usable == 0
@@ -75,14 +92,15 @@
 			}
 			continue
 		}
-		if now.Before(states[node.Name].AvoidUntil) {
+		state := states[node.Name]
+		if state.lost && now.Before(state.retryAt) {
 			continue
 		}
 		plan.Upstreams = append(plan.Upstreams, node)
-		usable++
-	}
-	if usable == 0 && !listed {
-		plan.Watch = true
+		if !state.lost {
+			usable++
+		}
 	}
+	plan.Watch = plan.Watch || usable == 0
 	return plan
 }
--- a/pkg/forward/place.go
+++ b/pkg/forward/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -9,6 +10,7 @@
 
 	"github.com/fireflychute/fireflychute/pkg/placement"
 	"github.com/fireflychute/fireflychute/pkg/topology"
+	"github.com/fireflychute/fireflychute/pkg/transport"
 	"github.com/fireflychute/fireflychute/pkg/warmup"
 )
 
@@ -156,7 +158,9 @@
 	failed := err != nil
 	h.options.Observer.Asked(failed)
 	if failed {
-		target.Observed.Missed(now)
+		if !errors.Is(err, transport.ErrConnectionLimit) {
+			target.Observed.Missed(now)
+		}
 		return heard{target: target}
 	}
 	if health.Target != "" && health.Target != target.ID {
