Test the decisions of the platform path; fix what the model test found

Cause: the replica's model test found two faults: a peer that had seen an object which this node never saw was not told of its removal, and a removal within a batch undid a later creation at a peer. The rollout tests found a version with few requests that stayed under trial until its deadline. Ruled out: sending whole kinds on every fetch (bytes grow with the fleet). Conclusion: the trial's share follows the allowed exposure.

--- a/pkg/canary/decide.go
+++ b/pkg/canary/decide.go
@@ -6,7 +6,13 @@
 // the time has passed: long enough for a fault that shows late. Then it gets as much
 // as the exposure bound allows for a moment, which shows faults under load, then all.
 const (
-	trialShare = 0.05
+	trialShare    = 0.05
+	maxTrialShare = 0.25
+	// trialExposure is the part of the allowed exposure that the trial may use; where
+	// there are few requests, it allows a larger share and so an earlier verdict.
+	trialExposure = 0.2
+	// raiseFactor is how much larger a share has to be to replace the one in force.
+	raiseFactor = 1.5
 	// loadShare is the share in the stage under load.
 	loadShare = 0.5
 	// trialPart and loadPart are the parts of the rollout's time at which the trial
@@ -21,13 +27,10 @@
 	// deadlineMargin is the time before the deadline at which the move is reported.
 	deadlineMargin = 700 * time.Millisecond
 	// exposurePart is the part of the allowed exposure that is used.
-	exposurePart = 0.8
+	exposurePart = 0.9
 	// reactionTime is the time in which a bad version goes on receiving requests
 	// after its badness shows.
-	reactionTime = time.Second
-	// minTrialRequests is how many requests the trial needs before the version may
-	// get more.
-	minTrialRequests = 5
+	reactionTime = 1500 * time.Millisecond
 )
 
 // Progress is what is known of a rollout.
@@ -71,8 +74,8 @@
 		return Decision{Share: 1, Complete: p.Held >= settleTime || last}
 	case !p.Present:
 		return Decision{Share: p.Share, RollBack: p.Elapsed >= p.Duration}
-	case p.Elapsed < scale(p.Duration, trialPart) || p.Exposed < minTrialRequests && p.Elapsed < p.Duration:
-		return Decision{Share: min(trialShare, bounds.Share/2)}
+	case p.Elapsed < scale(p.Duration, trialPart):
+		return Decision{Share: trialStageShare(p, bounds)}
 	case p.Elapsed < loadEnd:
 		return Decision{Share: max(p.Share, loadStageShare(p, bounds, loadEnd))}
 	default:
@@ -80,12 +83,29 @@
 	}
 }
 
+// allowedExposure is how many requests the version may get in all, with a reserve.
+func allowedExposure(p Progress, bounds Bounds) float64 {
+	total := float64(p.Requests) + p.Rate*(p.Duration-p.Elapsed).Seconds()
+	return exposurePart * (bounds.Share*total + bounds.Slack)
+}
+
+// trialStageShare returns the share in the trial.
+func trialStageShare(p Progress, bounds Bounds) float64 {
+	share := min(trialShare, bounds.Share/2)
+	if p.Rate > 0 {
+		stage := p.Rate * scale(p.Duration, trialPart).Seconds()
+		share = max(share, min(maxTrialShare, trialExposure*allowedExposure(p, bounds)/stage))
+	}
+	if share < raiseFactor*p.Share {
+		return p.Share
+	}
+	return share
+}
+
 // loadStageShare returns the share in the stage under load: as much as leaves room
 // for the requests that arrive until a fault is seen afterwards.
 func loadStageShare(p Progress, bounds Bounds, loadEnd time.Duration) float64 {
-	total := float64(p.Requests) + p.Rate*(p.Duration-p.Elapsed).Seconds()
-	allowed := exposurePart * (bounds.Share*total + bounds.Slack)
-	left := allowed - float64(p.Exposed) - p.Rate*reactionTime.Seconds()
+	left := allowedExposure(p, bounds) - float64(p.Exposed) - p.Rate*reactionTime.Seconds()
 	stage := p.Rate * (loadEnd - p.Elapsed).Seconds()
 	if left <= 0 || stage <= 0 {
 		return min(trialShare, bounds.Share/2)
--- /dev/null
+++ b/pkg/canary/decide_test.go
@@ -0,0 +1,121 @@
+package canary
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fireflychute/fireflychute/internal/faultmatrix"
+)
+
+var bounds = Bounds{Share: 0.1, Slack: 50}
+
+const tick = 100 * time.Millisecond
+
+// rollout plays a rollout: badAfter is when the version turns bad, detect how long
+// the fleet needs to see it; 0 means that it is good.
+type rollout struct {
+	rate     float64
+	duration time.Duration
+	badAfter time.Duration
+	detect   time.Duration
+	onlyLoad bool
+}
+
+type result struct {
+	end      Decision
+	at       time.Duration
+	exposed  float64
+	requests float64
+	fullFor  time.Duration
+}
+
+func (r rollout) play() result {
+	out := result{}
+	share, since, badSince := 0.0, time.Duration(0), time.Duration(-1)
+	for elapsed := time.Duration(0); elapsed <= 2*r.duration; elapsed += tick {
+		loaded := !r.onlyLoad || share >= 0.3
+		if r.detect > 0 && elapsed >= r.badAfter && share > 0 && loaded && badSince < 0 {
+			badSince = elapsed
+		}
+		decision := Decide(Progress{
+			Elapsed: elapsed, Duration: r.duration, Share: share, Held: elapsed - since,
+			Requests: int(out.requests), Exposed: int(out.exposed), Rate: r.rate, Present: true,
+			Bad: badSince >= 0 && elapsed-badSince >= r.detect,
+		}, bounds)
+		if decision.RollBack || decision.Complete {
+			out.end, out.at = decision, elapsed
+			if share >= 1 {
+				out.fullFor = elapsed - since
+			}
+			return out
+		}
+		if decision.Share != share {
+			share, since = decision.Share, elapsed
+		}
+		out.requests += r.rate * tick.Seconds()
+		out.exposed += r.rate * tick.Seconds() * share
+	}
+	return out
+}
+
+// Guards against a good version that is not moved in time, and against old targets
+// that are stopped while they still work.
+func TestGoodVersionCompletesInTime(t *testing.T) {
+	for _, duration := range []time.Duration{8 * time.Second, 12 * time.Second, 16 * time.Second, time.Minute} {
+		for _, rate := range []float64{2, 20, 100, 1000} {
+			g := NewWithT(t)
+			out := rollout{rate: rate, duration: duration}.play()
+			g.Expect(out.end.Complete).To(BeTrue())
+			g.Expect(out.at).To(BeNumerically("<", duration))
+			g.Expect(out.fullFor).To(BeNumerically(">=", settleTime/2))
+		}
+	}
+}
+
+// Guards against a bad version that gets more than its bound of exposure, whether it
+// is bad at once, late or only under load.
+func TestBadVersionStaysWithinTheExposure(t *testing.T) {
+	faultmatrix.Proves(t, faultmatrix.TargetFailing, faultmatrix.RequestChoose)
+	for _, badAfter := range []time.Duration{0, 3 * time.Second, 6 * time.Second} {
+		for _, onlyLoad := range []bool{false, true} {
+			for _, rate := range []float64{5, 20, 92} {
+				g := NewWithT(t)
+				r := rollout{rate: rate, duration: 16 * time.Second, badAfter: badAfter, detect: 1500 * time.Millisecond, onlyLoad: onlyLoad}
+				out := r.play()
+				g.Expect(out.end.RollBack).To(BeTrue())
+				total := rate * r.duration.Seconds()
+				g.Expect(out.exposed).To(BeNumerically("<=", bounds.Share*total+bounds.Slack), "rate %v, bad after %v, only under load %v", rate, badAfter, onlyLoad)
+			}
+		}
+	}
+}
+
+// Guards against a version without targets being given all requests.
+func TestVersionWithoutTargetsIsRolledBackAtTheDeadline(t *testing.T) {
+	g := NewWithT(t)
+	p := Progress{Elapsed: 15 * time.Second, Duration: 16 * time.Second, Share: 0.05}
+	g.Expect(Decide(p, bounds)).To(Equal(Decision{Share: 0.05}))
+	p.Elapsed = 16 * time.Second
+	g.Expect(Decide(p, bounds).RollBack).To(BeTrue())
+}
+
+// Guards against a node that goes on sending to a failing version while the leader
+// is away, and against one unlucky request taking a version out.
+func TestNodeBlocksOnItsOwnEvidence(t *testing.T) {
+	for name, c := range map[string]struct {
+		base, canary Counts
+		bad          bool
+	}{
+		"failing":           {Counts{Requests: 40, Failures: 1}, Counts{Requests: 6, Failures: 3}, true},
+		"few failures":      {Counts{Requests: 40}, Counts{Requests: 2, Failures: 2}, false},
+		"low rate":          {Counts{Requests: 40}, Counts{Requests: 30, Failures: 3}, false},
+		"base fails as bad": {Counts{Requests: 40, Failures: 15}, Counts{Requests: 6, Failures: 3}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			g.Expect(BadHere(c.base, c.canary)).To(Equal(c.bad))
+		})
+	}
+}
--- /dev/null
+++ b/pkg/canary/outcomes_test.go
@@ -0,0 +1,53 @@
+package canary
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fireflychute/fireflychute/pkg/forward"
+)
+
+func ended(tries ...forward.Try) *forward.Record {
+	return &forward.Record{Service: "s", Route: "r", Tries: tries}
+}
+
+// Guards against sends that never ran, or answers of cold targets, counting against
+// a version.
+func TestOnlyWhatSaysSomethingOfTheVersionCounts(t *testing.T) {
+	g := NewWithT(t)
+	o := NewOutcomes()
+	o.Ended(ended(
+		forward.Try{Order: 7, Canary: true, NotRun: true, Failed: true},
+		forward.Try{Order: 7, Canary: true, Failed: true},
+		forward.Try{Order: 7, Canary: true, Cold: true, Latency: time.Second},
+		forward.Try{Order: 7, Latency: 220 * time.Millisecond},
+		forward.Try{Latency: time.Second},
+	))
+	rows := o.Rows(map[uint64]bool{7: true})
+	g.Expect(rows).To(HaveLen(2))
+	canary := rows[Key{Service: "s", Order: 7, Route: "r", Canary: true}]
+	g.Expect([]uint64{canary.Requests, canary.Failures}).To(Equal([]uint64{2, 1}))
+	g.Expect(canary.LatencyList()).To(BeEmpty())
+	base := rows[Key{Service: "s", Order: 7, Route: "r"}]
+	timed := base.Since(Counts{})
+	g.Expect(timed.Timed()).To(Equal(1))
+	g.Expect(o.Rows(nil)).To(BeEmpty(), "counts of ended rollouts are forgotten")
+}
+
+// Guards against a latency that changes much on its way through the buckets.
+func TestBucketsKeepLatenciesNearly(t *testing.T) {
+	g := NewWithT(t)
+	for _, latency := range []time.Duration{2 * time.Millisecond, 220 * time.Millisecond, 1760 * time.Millisecond, time.Minute} {
+		near := float64(bucketMicros(bucketOf(latency))) / float64(latency.Microseconds())
+		g.Expect(near).To(BeNumerically("~", 1, 0.35))
+	}
+	var c Counts
+	c.Latencies[3], c.Latencies[9] = 2, 1
+	var back Counts
+	back.SetLatencies(c.LatencyList())
+	g.Expect(back).To(Equal(c))
+	difference := c.Add(c).Since(c)
+	g.Expect(difference.Timed()).To(Equal(3))
+}
--- /dev/null
+++ b/pkg/placement/placement_test.go
@@ -0,0 +1,78 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+func idle() Candidate { return Candidate{Slots: 6, Slowness: 1, Pace: 1, Local: true} }
+
+// Guards against a load pattern that makes a target slow being chosen over an idle,
+// ordinary one.
+func TestCostRisesWithEachSignOfLoad(t *testing.T) {
+	worse := map[string]func(c *Candidate){
+		"noisy neighbour":    func(c *Candidate) { c.Slowness = 5 },
+		"few free slots":     func(c *Candidate) { c.Running = 5 },
+		"queue":              func(c *Candidate) { c.Running, c.Waiting = 6, 3 },
+		"own requests":       func(c *Candidate) { c.Pending = 6 },
+		"cold":               func(c *Candidate) { c.Cold = true },
+		"fails fast":         func(c *Candidate) { c.FailureRate = 0.4 },
+		"slower than others": func(c *Candidate) { c.Pace = 4 },
+		"other data centre":  func(c *Candidate) { c.Local = false },
+	}
+	for name, change := range worse {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c := idle()
+			change(&c)
+			g.Expect(Cost(c)).To(BeNumerically(">", Cost(idle())))
+		})
+	}
+}
+
+// Guards against a local target that is clearly slower being preferred only to keep
+// traffic in the data centre.
+func TestDistanceWeighsLessThanLoad(t *testing.T) {
+	g := NewWithT(t)
+	local, remote := idle(), idle()
+	local.Slowness, remote.Local = 1.5, false
+	g.Expect(Cost(remote)).To(BeNumerically("<", Cost(local)))
+}
+
+// Guards against overload in which less urgent requests fill the queues before more
+// urgent ones are refused.
+func TestLessUrgentRoutesAreRefusedFirst(t *testing.T) {
+	g := NewWithT(t)
+	c := idle()
+	c.Running = 6
+	admitted := func(priority int) int {
+		for c.Waiting = 0; HasRoom(c, QueueShare(priority)); c.Waiting++ {
+		}
+		return c.Waiting
+	}
+	g.Expect(admitted(0)).To(BeNumerically(">", admitted(1)))
+	g.Expect(admitted(1)).To(BeNumerically(">", admitted(2)))
+	g.Expect(admitted(2)).To(Equal(admitted(7)))
+}
+
+// Guards against a sample with repeated targets, and one that favours some.
+func TestSampleIsUniformWithoutRepeats(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	counts := map[int]int{}
+	for range 10_000 {
+		all := []int{0, 1, 2, 3, 4, 5, 6, 7}
+		seen := map[int]bool{}
+		for _, drawn := range Sample(random, all, 3) {
+			g.Expect(seen[drawn]).To(BeFalse())
+			seen[drawn] = true
+			counts[drawn]++
+		}
+	}
+	for drawn := range 8 {
+		g.Expect(counts[drawn]).To(BeNumerically("~", 3750, 250))
+	}
+	g.Expect(Sample(random, []int{1}, 5)).To(HaveLen(1))
+}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -139,6 +139,11 @@
 			changed = t.disappear(now, name, asOf, lapse) || changed
 		}
 	}
+	if asOf > t.asOf || !t.known {
+		// What was created and removed since the last look was never seen here, so a
+		// peer that saw its creation has to receive the whole kind.
+		t.floor = asOf
+	}
 	t.known, t.asOf = true, asOf
 	return changed
 }
@@ -175,8 +180,11 @@
 		changed = t.put(now, object) || changed
 	}
 	for _, name := range delta.Removed {
-		current, ok := t.objects[name]
-		if ok && current.Revision <= delta.AsOf {
+		current, exists := t.objects[name]
+		switch {
+		case !exists:
+			t.noteRemoval(removal{name: name, asOf: delta.AsOf})
+		case current.Revision <= delta.AsOf:
 			changed = t.remove(name, delta.AsOf) || changed
 		}
 	}
@@ -198,7 +206,8 @@
 		}
 	}
 	for _, removed := range t.removals {
-		if !delta.Full && removed.asOf > have {
+		_, back := t.objects[removed.name]
+		if !delta.Full && !back && removed.asOf > have {
 			delta.Removed = append(delta.Removed, removed.name)
 		}
 	}
@@ -247,7 +256,11 @@
 // the revision of the object's last change in place of that of the removal.
 func (t *table) deleted(now time.Time, object Object, asOf uint64, lapse bool) bool {
 	current, exists := t.objects[object.Name]
-	if !exists || current.Created > object.Revision {
+	if !exists {
+		t.noteRemoval(removal{object.Name, asOf, object.Created})
+		return false
+	}
+	if current.Created > object.Revision {
 		return false
 	}
 	return t.disappear(now, object.Name, asOf, lapse)
@@ -274,10 +287,15 @@
 	}
 	delete(t.objects, name)
 	delete(t.expiry, name)
-	t.removals = append(t.removals, removal{name, asOf, current.Created})
+	t.noteRemoval(removal{name, asOf, current.Created})
+	return true
+}
+
+// noteRemoval keeps a removal for peers that lag behind.
+func (t *table) noteRemoval(gone removal) {
+	t.removals = append(t.removals, gone)
 	if len(t.removals) > maxRemovals {
-		t.floor = t.removals[0].asOf
+		t.floor = max(t.floor, t.removals[0].asOf)
 		t.removals = slices.Delete(t.removals, 0, 1)
 	}
-	return true
 }
--- /dev/null
+++ b/pkg/replica/replica_test.go
@@ -0,0 +1,182 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func object(name string, revision, created uint64) Object {
+	return Object{Name: name, Revision: revision, Created: created}
+}
+
+// Guards against a late list, a late event or an old peer replacing a newer object.
+func TestOlderObjectsLose(t *testing.T) {
+	old := object("main", 5, 1)
+	late := map[string]func(r *Replica){
+		"late list":  func(r *Replica) { r.Replace(start, Configurations, 6, []Object{old}, false) },
+		"late event": func(r *Replica) { r.Apply(start, Configurations, 6, []Event{{Object: old}}, false) },
+		"old peer": func(r *Replica) {
+			r.Merge(start, Delta{Kind: Configurations, Full: true, AsOf: 6, Objects: []Object{old}})
+		},
+		"old peer's removal": func(r *Replica) {
+			r.Merge(start, Delta{Kind: Configurations, AsOf: 6, Removed: []string{"main"}})
+		},
+	}
+	for name, arrive := range late {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			r := New()
+			r.Replace(start, Configurations, 9, []Object{object("main", 8, 1)}, false)
+			arrive(r)
+			held, ok := r.Object(Configurations, "main")
+			g.Expect(ok).To(BeTrue())
+			g.Expect(held.Revision).To(Equal(uint64(8)))
+			g.Expect(r.AsOf(Configurations)).To(Equal(uint64(9)))
+		})
+	}
+}
+
+// Guards against a target that is gone being used again because a peer that lags
+// still has it, and against its new registration being refused.
+func TestRemovedObjectsStayAwayUntilTheyAreCreatedAnew(t *testing.T) {
+	g := NewWithT(t)
+	r := New()
+	r.Replace(start, Targets, 9, []Object{object("a", 8, 3)}, false)
+	r.Apply(start, Targets, 12, []Event{{Object: object("a", 8, 3), Deleted: true}}, false)
+	g.Expect(r.Merge(start, Delta{Kind: Targets, AsOf: 11, Objects: []Object{object("a", 10, 3)}})).To(BeFalse())
+	g.Expect(r.Apply(start, Targets, 14, []Event{{Object: object("a", 13, 13)}}, false)).To(BeTrue())
+	_, ok := r.Object(Targets, "a")
+	g.Expect(ok).To(BeTrue())
+}
+
+// Guards against targets being dropped because their entries ran out while the
+// store was away, and against entries that never come back being used for good.
+func TestLapsedObjectsWaitForTheirReturn(t *testing.T) {
+	g := NewWithT(t)
+	r := New()
+	r.Replace(start, Targets, 9, []Object{object("alive", 5, 2), object("dead", 6, 3)}, false)
+	r.Replace(start, Targets, 20, nil, true)
+	g.Expect(r.Objects(Targets)).To(HaveLen(2))
+	r.Apply(start.Add(time.Second), Targets, 22, []Event{{Object: object("alive", 21, 21)}}, true)
+	g.Expect(r.Expire(start.Add(lapseTime - time.Millisecond))).To(BeFalse())
+	g.Expect(r.Expire(start.Add(lapseTime))).To(BeTrue())
+	g.Expect(r.Objects(Targets)).To(HaveLen(1))
+	back, _ := r.Object(Targets, "alive")
+	g.Expect(back.Lapsed).To(BeFalse())
+}
+
+// Guards against a node that took an entry for lapsed bringing back, at its peers,
+// a target that these know to be removed.
+func TestLapsedObjectOfAPeerDoesNotUndoARemoval(t *testing.T) {
+	g := NewWithT(t)
+	knows, doubts := New(), New()
+	for _, r := range []*Replica{knows, doubts} {
+		r.Replace(start, Targets, 9, []Object{object("a", 8, 3)}, false)
+	}
+	knows.Apply(start, Targets, 12, []Event{{Object: object("a", 8, 3), Deleted: true}}, false)
+	doubts.Apply(start, Targets, 13, []Event{{Object: object("a", 8, 3), Deleted: true}}, true)
+	delta, ok := doubts.Since(Targets, 12, true)
+	g.Expect(ok).To(BeTrue())
+	knows.Merge(start, delta)
+	g.Expect(knows.Objects(Targets)).To(BeEmpty())
+}
+
+// Guards against a peer that lags missing a removal that is no longer listed.
+func TestPeerBehindTheKeptRemovalsGetsAll(t *testing.T) {
+	g := NewWithT(t)
+	r := New()
+	r.Replace(start, Targets, 1, []Object{object("stays", 1, 1)}, false)
+	for revision := uint64(2); revision < 2*maxRemovals+10; revision += 2 {
+		r.Apply(start, Targets, revision, []Event{{Object: object("t", revision, revision)}}, false)
+		r.Apply(start, Targets, revision+1, []Event{{Object: object("t", revision, revision), Deleted: true}}, false)
+	}
+	delta, ok := r.Since(Targets, 2, true)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(delta.Full).To(BeTrue())
+	g.Expect(delta.Objects).To(HaveLen(1))
+}
+
+// model is the store's own history of one kind.
+type model struct {
+	revision uint64
+	objects  map[string]Object
+	history  []Event
+	at       []uint64
+}
+
+func (m *model) change(t *rapid.T) {
+	m.revision++
+	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+	current, exists := m.objects[name]
+	if exists && rapid.Bool().Draw(t, "delete") {
+		delete(m.objects, name)
+		m.history = append(m.history, Event{Object: current, Deleted: true})
+		m.at = append(m.at, m.revision)
+		return
+	}
+	next := Object{Name: name, Revision: m.revision, Created: current.Created}
+	if !exists {
+		next.Created = m.revision
+	}
+	m.objects[name] = next
+	m.history = append(m.history, Event{Object: next})
+	m.at = append(m.at, m.revision)
+}
+
+func (m *model) since(revision uint64) []Event {
+	var events []Event
+	for i, at := range m.at {
+		if at > revision {
+			events = append(events, m.history[i])
+		}
+	}
+	return events
+}
+
+// Guards against any order of lists, watches and fetches between nodes after which
+// a node that is up to date differs from the store, or a node goes back.
+func TestReplicasFollowTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		store := &model{revision: 1, objects: map[string]Object{}}
+		replicas := []*Replica{New(), New(), New()}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			r := rapid.SampledFrom(replicas).Draw(t, "replica")
+			before := r.AsOf(Targets)
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				store.change(t)
+			case 1:
+				var all []Object
+				for _, o := range store.objects {
+					all = append(all, o)
+				}
+				r.Replace(start, Targets, store.revision, all, false)
+			case 2:
+				if r.Known(Targets) {
+					r.Apply(start, Targets, store.revision, store.since(before), false)
+				}
+			case 3:
+				from := rapid.SampledFrom(replicas).Draw(t, "from")
+				delta, ok := from.Since(Targets, before, r.Known(Targets))
+				if ok {
+					r.Merge(start, delta)
+				}
+			}
+			g.Expect(r.AsOf(Targets)).To(BeNumerically(">=", before))
+			for _, r := range replicas {
+				if r.Known(Targets) && r.AsOf(Targets) == store.revision {
+					g.Expect(r.Objects(Targets)).To(HaveLen(len(store.objects)))
+					for _, o := range r.Objects(Targets) {
+						g.Expect(o).To(Equal(store.objects[o.Name]))
+					}
+				}
+			}
+		}
+	})
+}
