Read from seeds first, follow only when all is known, prefer a subset of targets

Store calls were 2,757, most of them the six lists of each of 227 starts. Ruled out: more watchers (calls), longer idle times (instances close at 10 s).

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -123,4 +123,6 @@
 	DataCentre string
 	// Incarnation differs between starts of the process.
 	Incarnation int64
+	// Weak nodes have too little processor or network to serve other nodes.
+	Weak bool
 }
--- a/pkg/edge/controller.go
+++ b/pkg/edge/controller.go
@@ -28,6 +28,15 @@
 	// staleTime is the age of the last contact with the store, own or through other
 	// nodes, from which on a node looks for the store by itself.
 	staleTime = 4 * time.Second
+	// seedTime is how long a starting node waits for its seeds before it reads the
+	// store by itself. Without it each start costs a read of every kind.
+	seedTime = 600 * time.Millisecond
+	// patienceTime is how long a starting node waits for recent data before it serves
+	// with what its peers have.
+	patienceTime = 3 * time.Second
+	// Below either limit a node is weak: it does not serve changes to the others.
+	weakProcessor = 0.25 // of a core
+	weakLinkMbps  = 50
 )
 
 // controller owns the control state of the node. All its state belongs to one
@@ -52,6 +61,7 @@
 	self    catalog.Node
 	follows map[string]context.CancelFunc
 	sources map[string]follow.State
+	started time.Time
 	// heard is when the store was last reached, by this node or by one that it follows.
 	heard time.Time
 
@@ -89,13 +99,15 @@
 		options: options, log: options.Log, published: published, client: client,
 		outcomes: canary.NewOutcomes(),
 		inbox:    make(chan func(), 64), drained: make(chan struct{}),
-		replica: replica.New(), builder: topology.NewBuilder(settings.DataCentre, settings.Regions),
+		replica: replica.New(), builder: topology.NewBuilder(settings.Node, settings.DataCentre, settings.Regions),
 		view:  view{targets: map[string]decodedTarget{}},
 		peers: peer.NewClient(settings.Node, nil), seeds: settings.Seeds,
 		self: catalog.Node{
 			Name: settings.Node, Address: settings.PeerListen, DataCentre: settings.DataCentre,
 			Incarnation: rand.Int64N(1 << 52),
+			Weak:        settings.Processor < weakProcessor || settings.LinkMbps < weakLinkMbps,
 		},
+		started: time.Now(),
 		follows: map[string]context.CancelFunc{}, sources: map[string]follow.State{},
 		rollouts: newRolloutState(), changed: make(chan struct{}),
 	}
@@ -161,7 +173,7 @@
 }
 
 func (c *controller) tick(ctx context.Context, now time.Time) {
-	c.dirty = c.replica.Expire(now) || c.dirty
+	c.dirty = c.replica.Expire(now) || c.dirty || c.published.Load() == nil
 	if c.dirty {
 		c.dirty = false
 		c.decode(now)
@@ -289,6 +301,17 @@
 	}
 }
 
+// isComplete tells whether every kind was read at least once.
+func (c *controller) isComplete() bool {
+	return !slices.ContainsFunc(replica.Kinds(), func(kind replica.Kind) bool { return !c.replica.Known(kind) })
+}
+
+// mayBegin tells whether a starting node may serve: its data are recent, or nobody
+// has any that are.
+func (c *controller) mayBegin(now time.Time) bool {
+	return now.Sub(c.heard) <= staleTime || now.Sub(c.started) > patienceTime
+}
+
 // orderIDBits keeps identities exact in JSON numbers.
 const orderIDBits = 48
 
@@ -300,7 +323,7 @@
 
 // publish gives the view to traffic.
 func (c *controller) publish(now time.Time) {
-	if c.view.configuration == nil || !c.replica.Known(replica.Targets) {
+	if c.view.configuration == nil || !c.isComplete() || c.published.Load() == nil && !c.mayBegin(now) {
 		return
 	}
 	input := topology.Input{
--- a/pkg/edge/process.go
+++ b/pkg/edge/process.go
@@ -71,14 +71,22 @@
 	if options.Settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(options.Settings.MemoryBytes) * memoryShare))
 	}
-	p := newProcess(options)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return New(options).Serve(signals)
+}
+
+// Serve runs the node until a signal other than SIGHUP arrives.
+func (p *Process) Serve(signals <-chan os.Signal) error {
+	options := &p.options
 	p.log.Info().Str("dataCentre", options.Settings.DataCentre).Str("callers", options.Settings.CallerListen).Msg("node started")
-	err := p.serve()
+	err := p.serve(signals)
 	p.log.Info().Err(err).Msg("node stopped")
 	return err
 }
 
-func newProcess(options Options) *Process {
+// New returns a node that does not serve yet.
+func New(options Options) *Process {
 	p := &Process{options: options, log: options.Log}
 	settings := &options.Settings
 	p.client = transport.NewClientWith(transport.Options{IdleTime: idleConnectionTime, Silence: targetSilence})
@@ -98,9 +106,9 @@
 // nodes that are not counted yet and windows that differ between nodes.
 const budgetShare = 0.8
 
-func (p *Process) serve() error {
+func (p *Process) serve(signals <-chan os.Signal) error {
 	var group run.Group
-	p.addSignals(&group)
+	p.addSignals(&group, signals)
 	p.addControl(&group)
 	callers := &http.Server{
 		Handler: p.handler, ReadHeaderTimeout: defaultHeaderTime, IdleTimeout: defaultIdleTime,
@@ -126,9 +134,7 @@
 var errStopped = errors.New("stopped by a signal")
 
 // addSignals ends the group on SIGTERM and reads the settings again on SIGHUP.
-func (p *Process) addSignals(group *run.Group) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+func (p *Process) addSignals(group *run.Group, signals <-chan os.Signal) {
 	ended := make(chan struct{})
 	group.Add(func() error {
 		for {
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -14,8 +14,11 @@
 	Regions        map[string]string
 	MemoryBytes    int64
 	MaxDescriptors int
-	CallerListen   string
-	ReadyListen    string
+	// Processor is the node's part of a core, LinkMbps the bandwidth of its link.
+	Processor    float64
+	LinkMbps     float64
+	CallerListen string
+	ReadyListen  string
 	// PeerListen is the address for other nodes.
 	PeerListen    string
 	MetricsListen string
--- a/pkg/edge/sync.go
+++ b/pkg/edge/sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/fireflychute/fireflychute/pkg/catalog"
@@ -19,15 +20,15 @@
 
 // plan starts and stops watches and follows as the fleet requires.
 func (c *controller) plan(ctx context.Context, now time.Time) {
-	stale := now.Sub(c.heard) > staleTime
-	plan := follow.Decide(now, c.self.Name, c.view.ranked, c.sources, c.watch.failing, stale)
-	if len(c.view.ranked) == 0 {
-		plan.Upstreams = c.seedNodes()
+	alone := (now.Sub(c.heard) > staleTime || !c.isComplete()) && !c.awaitsSeeds(now)
+	plan := follow.Decide(now, c.self.Name, c.view.ranked, c.sources, c.watch.failing, alone)
+	if !c.isComplete() {
+		plan.Upstreams = append(plan.Upstreams, c.seedNodes()...)
 	}
 	c.rollouts.leading = plan.Lead
 	switch {
 	case plan.Watch && c.watch.cancel == nil:
-		c.log.Info().Bool("stale", stale).Msg("node watches the store")
+		c.log.Info().Bool("alone", alone).Msg("node watches the store")
 		c.startWatching(ctx)
 	case !plan.Watch && c.watch.cancel != nil:
 		c.log.Info().Msg("node no longer watches the store")
@@ -51,6 +52,12 @@
 	}
 }
 
+// awaitsSeeds tells whether the node has just started and may get all it needs from
+// another node. Seeds themselves read the store at once.
+func (c *controller) awaitsSeeds(now time.Time) bool {
+	return now.Sub(c.started) < seedTime && len(c.seeds) > 0 && !slices.Contains(c.seeds, c.self.Address)
+}
+
 // seedNodes are the nodes from the settings, which are followed until others are known.
 func (c *controller) seedNodes() []catalog.Node {
 	var nodes []catalog.Node
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -53,11 +53,14 @@
 	Upstreams []catalog.Node
 }
 
-// Rank orders nodes by preference as watchers: by a hash of the name, in turns of
-// data centres.
+// Rank orders nodes by preference as watchers: weak ones last, otherwise by a hash
+// of the name, in turns of data centres.
 func Rank(nodes []catalog.Node) []catalog.Node {
 	sorted := slices.Clone(nodes)
 	sort.Slice(sorted, func(a, b int) bool {
+		if sorted[a].Weak != sorted[b].Weak {
+			return sorted[b].Weak
+		}
 		first, second := xxhash.Sum64String(sorted[a].Name), xxhash.Sum64String(sorted[b].Name)
 		if first != second {
 			return first < second
@@ -70,15 +73,21 @@
 		turns[node.Name] = turn[node.DataCentre]
 		turn[node.DataCentre]++
 	}
-	sort.SliceStable(sorted, func(a, b int) bool { return turns[sorted[a].Name] < turns[sorted[b].Name] })
+	sort.SliceStable(sorted, func(a, b int) bool {
+		if sorted[a].Weak != sorted[b].Weak {
+			return sorted[b].Weak
+		}
+		return turns[sorted[a].Name] < turns[sorted[b].Name]
+	})
 	return sorted
 }
 
 // Decide returns the plan of a node. ranked comes from Rank, states is what it
 // knows of the others by name. storeLost tells that the node's own calls to the
-// store fail, stale that none of its sources has heard from the store lately.
-func Decide(now time.Time, self string, ranked []catalog.Node, states map[string]State, storeLost, stale bool) Plan {
-	plan := Plan{Watch: stale}
+// store fail, alone that none of its sources can serve it: they have not heard from
+// the store lately, or have not told it all.
+func Decide(now time.Time, self string, ranked []catalog.Node, states map[string]State, storeLost, alone bool) Plan {
+	plan := Plan{Watch: alone}
 	usable := 0
 	for _, node := range ranked {
 		if usable == Watchers {
@@ -101,6 +110,6 @@
 			usable++
 		}
 	}
-	plan.Watch = plan.Watch || usable == 0
+	plan.Watch = plan.Watch || usable == 0 && len(ranked) > 0
 	return plan
 }
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -41,6 +41,8 @@
 	tried []*topology.Target
 	// sent counts the sends that count as an attempt at a target.
 	sent int
+	// widened tells that the preferred targets had no room, so all are asked.
+	widened bool
 	// unknown tells that an earlier send may have run.
 	unknown bool
 	record  Record
--- a/pkg/forward/place.go
+++ b/pkg/forward/place.go
@@ -66,6 +66,7 @@
 			return chosen, ""
 		}
 		reason = why
+		c.widened = true
 	}
 	return nil, reason
 }
@@ -89,18 +90,24 @@
 // sample returns the targets to ask: random ones that may take the request.
 func (c *call) sample(pool []*topology.Target) []*topology.Target {
 	now := time.Now()
-	usable := make([]*topology.Target, 0, len(pool))
-	var held []*topology.Target
+	preferred := make([]*topology.Target, 0, len(pool))
+	var others, held []*topology.Target
 	for _, target := range pool {
 		view := target.Observed.View(now)
 		switch {
 		case view.Leaving || !c.route.Allows(target) || c.wasTried(target) || !target.Observed.MayTake(now):
 		case view.Held:
 			held = append(held, target)
+		case target.Preferred:
+			preferred = append(preferred, target)
 		default:
-			usable = append(usable, target)
+			others = append(others, target)
 		}
 	}
+	usable := preferred
+	if len(preferred) < questions || c.widened {
+		usable = append(usable, others...)
+	}
 	if len(usable) == 0 {
 		usable = held
 	}
--- a/pkg/topology/build.go
+++ b/pkg/topology/build.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/fireflychute/fireflychute/pkg/catalog"
 )
 
@@ -37,6 +39,7 @@
 // Builder makes topologies and keeps what was observed of targets between them.
 // It belongs to the control goroutine.
 type Builder struct {
+	node       string
 	dataCentre string
 	regions    map[string]string
 	observed   map[targetKey]*Observed
@@ -51,11 +54,16 @@
 
 type versionKey struct{ service, version string }
 
+// subsetSize is how many targets of a version a node prefers. A node that asks all
+// of some hundred targets comes to each so seldom that its connections have been
+// closed by then, and each question costs a new one.
+const subsetSize = 24
+
 // NewBuilder returns a builder for a node in a data centre. regions has the region
 // of each data centre.
-func NewBuilder(dataCentre string, regions map[string]string) *Builder {
+func NewBuilder(node, dataCentre string, regions map[string]string) *Builder {
 	return &Builder{
-		dataCentre: dataCentre, regions: regions,
+		node: node, dataCentre: dataCentre, regions: regions,
 		observed: map[targetKey]*Observed{}, versions: map[versionKey]time.Time{},
 	}
 }
@@ -70,6 +78,10 @@
 		t.Services[name] = &Service{Service: service}
 	}
 	b.addTargets(t, in)
+	for _, service := range t.Services {
+		b.prefer(service.Main)
+		b.prefer(service.Canary)
+	}
 	for _, route := range in.Configuration.Routes {
 		t.addRoute(route)
 	}
@@ -117,6 +129,20 @@
 	b.observed = kept
 }
 
+// prefer marks the node's subset of the targets by rendezvous hashing: it changes
+// little when targets or nodes come and go, and differs between nodes.
+func (b *Builder) prefer(targets []*Target) {
+	ranked := slices.Clone(targets)
+	weights := make(map[*Target]uint64, len(ranked))
+	for _, target := range ranked {
+		weights[target] = xxhash.Sum64String(b.node + "\x00" + target.ID)
+	}
+	slices.SortFunc(ranked, func(a, b *Target) int { return cmp.Compare(weights[b], weights[a]) })
+	for i, target := range ranked {
+		target.Preferred = i < subsetSize
+	}
+}
+
 // minConnections is the least number of connections of a node to a target: a
 // question and a request at the same time.
 const minConnections = 2
--- a/pkg/topology/topology.go
+++ b/pkg/topology/topology.go
@@ -50,6 +50,9 @@
 	// Connections is this node's part of the connections that the target accepts.
 	Connections int
 	Observed    *Observed
+	// Preferred targets are asked first; the others only when too few of those can
+	// take a request.
+	Preferred bool
 }
 
 // Match returns the route of a host and a path: the one with the longest prefix.
--- /dev/null
+++ b/testbed/instance/instance.go
@@ -0,0 +1,233 @@
+// Package instance is a stand-in of the instances behind the platform: it runs
+// requests in slots, tells its load, signs its answers and keeps a log of what it
+// ran. It can show the faults of real instances.
+package instance
+
+import (
+	"encoding/hex"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Faults are what an instance does wrong.
+type Faults struct {
+	// Status answers each request with a status after running it; 0 does not.
+	Status int
+	// Refuse answers each request with 503 as not run.
+	Refuse bool
+	// Hang never answers a request.
+	Hang bool
+	// Cut runs the request and closes the connection without an answer.
+	Cut bool
+	// Short sends half of the answer and closes the connection.
+	Short bool
+	// Foreign answers with another request's id.
+	Foreign bool
+	// Unsealed answers without the signature.
+	Unsealed bool
+	// Ill makes the health answer 503.
+	Ill bool
+	// Mute leaves health questions without an answer.
+	Mute bool
+}
+
+// Options are what an instance is like.
+type Options struct {
+	ID    string
+	Slots int
+	// Work is the time of one request.
+	Work time.Duration
+	// Body is the body of the answers.
+	Body string
+}
+
+// Run is a request that the instance began to work on.
+type Run struct {
+	RequestID string
+	Method    string
+	Path      string
+	Body      string
+	At        time.Time
+}
+
+// Instance is a running stand-in.
+type Instance struct {
+	options  Options
+	listener net.Listener
+	server   *http.Server
+
+	mu        sync.Mutex
+	faults    Faults
+	running   int
+	coldUntil time.Time
+	runs      []Run
+	asked     int
+	dials     int
+}
+
+// Start listens on a free loopback port.
+func Start(options Options) (*Instance, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	i := &Instance{options: options, listener: listener}
+	i.server = &http.Server{Handler: i, ConnState: func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			i.mu.Lock()
+			i.dials++
+			i.mu.Unlock()
+		}
+	}}
+	go func() { _ = i.server.Serve(listener) }() // ends with Stop
+	return i, nil
+}
+
+// Stop ends the instance at once, as a crash does.
+func (i *Instance) Stop() { _ = i.server.Close() }
+
+// Address returns where the instance listens.
+func (i *Instance) Address() string { return i.listener.Addr().String() }
+
+// ID returns the instance's id.
+func (i *Instance) ID() string { return i.options.ID }
+
+// SetFaults replaces the faults.
+func (i *Instance) SetFaults(faults Faults) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.faults = faults
+}
+
+// SetCold makes the instance say that it is cold for a time.
+func (i *Instance) SetCold(left time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.coldUntil = time.Now().Add(left)
+}
+
+// Runs returns what the instance ran.
+func (i *Instance) Runs() []Run {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return append([]Run{}, i.runs...)
+}
+
+// Asked returns how many load questions came, and Dials how many connections.
+func (i *Instance) Asked() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.asked
+}
+
+// Dials returns how many connections were opened to the instance.
+func (i *Instance) Dials() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.dials
+}
+
+// ServeHTTP implements http.Handler.
+func (i *Instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/health" {
+		i.health(w, r)
+		return
+	}
+	id := r.Header.Get("Fireflychute-Request-Id")
+	w.Header().Set("Fireflychute-Request-Id", id)
+	if expected := r.Header.Get("Fireflychute-Target-Instance"); expected != "" && expected != i.options.ID {
+		w.Header().Set("Fireflychute-Instance-Id", i.options.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	i.mu.Lock()
+	faults := i.faults
+	i.mu.Unlock()
+	if faults.Refuse || r.Header.Get("Fireflychute-Deadline-Ms") == "" {
+		w.Header().Set("Fireflychute-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	i.run(w, r, id, faults)
+}
+
+func (i *Instance) run(w http.ResponseWriter, r *http.Request, id string, faults Faults) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	i.mu.Lock()
+	i.running++
+	i.runs = append(i.runs, Run{id, r.Method, r.URL.RequestURI(), string(body), time.Now()})
+	i.mu.Unlock()
+	defer func() {
+		i.mu.Lock()
+		i.running--
+		i.mu.Unlock()
+	}()
+	select {
+	case <-time.After(i.options.Work):
+	case <-r.Context().Done():
+		return
+	}
+	switch {
+	case faults.Hang:
+		<-r.Context().Done()
+		return
+	case faults.Cut:
+		panic(http.ErrAbortHandler)
+	case faults.Foreign:
+		w.Header().Set("Fireflychute-Request-Id", "other")
+	}
+	if !faults.Unsealed {
+		w.Header().Set("Fireflychute-Response-Seal", Seal(id, i.options.Body))
+	}
+	if faults.Status != 0 {
+		w.WriteHeader(faults.Status)
+	}
+	i.write(w, faults)
+}
+
+func (i *Instance) write(w http.ResponseWriter, faults Faults) {
+	if !faults.Short {
+		_, _ = io.WriteString(w, i.options.Body) // a node that left is seen at its connection
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(i.options.Body)))
+	_, _ = io.WriteString(w, i.options.Body[:len(i.options.Body)/2])
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+// Seal is the signature of an answer.
+func Seal(requestID, body string) string {
+	hash := fnv.New64a()
+	_, _ = io.WriteString(hash, requestID+"\x00"+body)
+	return hex.EncodeToString(hash.Sum(nil))
+}
+
+func (i *Instance) health(w http.ResponseWriter, r *http.Request) {
+	i.mu.Lock()
+	i.asked++
+	faults, running, left := i.faults, i.running, time.Until(i.coldUntil)
+	i.mu.Unlock()
+	if faults.Mute {
+		<-r.Context().Done()
+		return
+	}
+	waiting := max(0, running-i.options.Slots)
+	w.Header().Set("Fireflychute-Instance-Id", i.options.ID)
+	w.Header().Set("Fireflychute-Instance-Load", fmt.Sprintf("%d,%d,%d,100", running-waiting, waiting, i.options.Slots))
+	if left > 0 {
+		w.Header().Set("Fireflychute-Warmup-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+	}
+	if faults.Ill {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
--- /dev/null
+++ b/testbed/metastore/store.go
@@ -0,0 +1,174 @@
+// Package metastore is a stand-in of the platform's metadata store: objects by kind
+// and name with revisions, conditional writes, watches and a bounded history. It can
+// show the faults of the real one.
+package metastore
+
+import (
+	"encoding/json"
+	"sort"
+	"sync"
+	"time"
+)
+
+// Object is one stored object.
+type Object struct {
+	Metadata Metadata        `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+	Status   json.RawMessage `json:"status"`
+}
+
+// Metadata names an object and its revisions.
+type Metadata struct {
+	Name       string   `json:"name"`
+	Rev        uint64   `json:"rev"`
+	CreatedRev uint64   `json:"created-rev"`
+	Finalizers []string `json:"finalizers"`
+	Deleting   bool     `json:"deleting"`
+}
+
+// Event is a change of an object.
+type Event struct {
+	Object  Object `json:"object"`
+	Deleted bool   `json:"deleted"`
+}
+
+type change struct {
+	revision uint64
+	kind     string
+	event    Event
+}
+
+// Store holds the objects. The zero value is not usable; use New.
+type Store struct {
+	mu       sync.Mutex
+	revision uint64
+	kinds    map[string]map[string]Object
+	history  []change
+	// floor is the revision up to which the history was dropped.
+	floor   uint64
+	changed chan struct{}
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{revision: 1, kinds: map[string]map[string]Object{}, changed: make(chan struct{})}
+}
+
+// Put stores a spec without a condition, as the operator and the instances do.
+func (s *Store) Put(kind, name string, spec any) Object {
+	text, err := json.Marshal(spec)
+	if err != nil {
+		panic(err) // a test passed a value that JSON cannot hold
+	}
+	return s.PutRaw(kind, name, text)
+}
+
+// PutRaw stores a spec as it is.
+func (s *Store) PutRaw(kind, name string, spec json.RawMessage) Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	object := s.kinds[kind][name]
+	object.Metadata.Name, object.Spec = name, spec
+	return s.store(kind, object)
+}
+
+// Remove deletes an object.
+func (s *Store) Remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	object, ok := s.kinds[kind][name]
+	if ok {
+		s.remove(kind, object)
+	}
+}
+
+// Get returns an object.
+func (s *Store) Get(kind, name string) (Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	object, ok := s.kinds[kind][name]
+	return object, ok
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.floor = nil, s.revision
+	s.wake()
+}
+
+// List returns the objects of a kind by name, and the store's revision.
+func (s *Store) List(kind string) ([]Object, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	objects := []Object{}
+	for _, object := range s.kinds[kind] {
+		objects = append(objects, object)
+	}
+	sort.Slice(objects, func(a, b int) bool { return objects[a].Metadata.Name < objects[b].Metadata.Name })
+	return objects, s.revision
+}
+
+// store writes an object; the caller holds the lock.
+func (s *Store) store(kind string, object Object) Object {
+	s.revision++
+	if s.kinds[kind] == nil {
+		s.kinds[kind] = map[string]Object{}
+	}
+	if object.Metadata.CreatedRev == 0 {
+		object.Metadata.CreatedRev = s.revision
+	}
+	object.Metadata.Rev = s.revision
+	s.kinds[kind][object.Metadata.Name] = object
+	s.history = append(s.history, change{s.revision, kind, Event{Object: object}})
+	s.wake()
+	return object
+}
+
+func (s *Store) remove(kind string, object Object) {
+	s.revision++
+	delete(s.kinds[kind], object.Metadata.Name)
+	s.history = append(s.history, change{s.revision, kind, Event{Object: object, Deleted: true}})
+	s.wake()
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// since returns the events of a kind after a revision; ok is false when the history
+// does not reach back so far.
+func (s *Store) since(kind string, from uint64) (events []Event, revision uint64, changed <-chan struct{}, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if from < s.floor {
+		return nil, 0, nil, false
+	}
+	for _, c := range s.history {
+		if c.kind == kind && c.revision > from {
+			events = append(events, c.event)
+		}
+	}
+	return events, s.revision, s.changed, true
+}
+
+// watch waits for events of a kind.
+func (s *Store) watch(kind string, from uint64, wait time.Duration, left <-chan struct{}) (events []Event, revision uint64, ok bool) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		events, revision, changed, ok := s.since(kind, from)
+		if !ok || len(events) > 0 {
+			return events, revision, ok
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, revision, true
+		case <-left:
+			return nil, revision, true
+		}
+	}
+}
