Keep targets whose entries lapsed, and follow seeds while no node is known

A node that the store turned away from its start knew no node and followed none, so it kept its first configuration. A node that took over the watch during an outage removed targets whose entries had run out meanwhile. Ruled out: treating every first list of a watcher as after an outage (removals would come later than drain-s after a watcher was killed). Trouble that a followed node reports counts as trouble.

--- a/pkg/edge/process.go
+++ b/pkg/edge/process.go
@@ -22,9 +22,6 @@
 )
 
 const (
-	// refuseAfter is when a stopping node begins to refuse: the platform's balancer
-	// has taken it out after two questions, one second apart.
-	refuseAfter = 2600 * time.Millisecond
 	// closeMargin is the time before SIGKILL at which a stopping node gives up the
 	// requests that are still running.
 	closeMargin = 250 * time.Millisecond
@@ -211,7 +208,7 @@
 	began := time.Now()
 	p.draining.Store(true)
 	p.handler.Stop()
-	time.Sleep(refuseAfter)
+	time.Sleep(p.options.Settings.NoticeTime)
 	p.handler.Refuse()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(p.options.Settings.GraceTime-closeMargin))
 	defer cancel()
--- a/pkg/edge/register.go
+++ b/pkg/edge/register.go
@@ -10,14 +10,17 @@
 
 const (
 	writeTimeout = 2 * time.Second
-	// writePause is the least time between two writes of the same matter.
-	writePause = 700 * time.Millisecond
+	// writePause is the least time between two writes of the same matter. It doubles
+	// with each failure up to maxWritePause.
+	writePause    = 700 * time.Millisecond
+	maxWritePause = 6 * time.Second
 )
 
 // writeState tells whether a write is under way and when the next may begin.
 type writeState struct {
-	busy bool
-	next time.Time
+	busy   bool
+	next   time.Time
+	misses int
 }
 
 // keepRegistered writes the node's own entry when it is missing or differs.
@@ -58,11 +61,13 @@
 		object, err := call(limited)
 		c.do(ctx, func() {
 			now := time.Now()
-			state.busy, state.next = false, now.Add(writePause)
+			state.busy, state.next = false, now.Add(min(writePause<<state.misses, maxWritePause))
 			if err != nil {
+				state.misses = min(state.misses+1, 6)
 				c.log.Warn().Err(err).Int("kind", int(kind)).Msg("write to the store failed; it is decided again")
 				return
 			}
+			state.misses = 0
 			if object.Name != "" && object.Revision > 0 {
 				c.dirty = c.replica.Put(now, kind, object) || c.dirty
 			}
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -27,6 +27,9 @@
 	StoreAddress string
 	// GraceTime is the time from SIGTERM to SIGKILL.
 	GraceTime time.Duration
+	// NoticeTime is how long a stopping node serves on before it refuses: by then the
+	// platform's balancer has taken it out.
+	NoticeTime time.Duration
 	// RetryRatio and RetryExtra bound the additional arrivals at a service within
 	// RetryWindow, over all nodes.
 	RetryRatio  float64
--- a/pkg/edge/sync.go
+++ b/pkg/edge/sync.go
@@ -20,9 +20,10 @@
 
 // plan starts and stops watches and follows as the fleet requires.
 func (c *controller) plan(ctx context.Context, now time.Time) {
-	alone := (now.Sub(c.heard) > staleTime || !c.isComplete()) && !c.awaitsSeeds(now)
+	unserved := now.Sub(c.heard) > staleTime || !c.isComplete()
+	alone := unserved && !c.awaitsSeeds(now)
 	plan := follow.Decide(now, c.self.Name, c.view.ranked, c.sources, c.watch.failing, alone)
-	if !c.isComplete() {
+	if unserved || len(plan.Upstreams) == 0 {
 		plan.Upstreams = append(plan.Upstreams, c.seedNodes()...)
 	}
 	c.rollouts.leading = plan.Lead
@@ -125,6 +126,7 @@
 	switch {
 	case age > staleTime:
 		c.sources[node.Name] = state.Lost(now)
+		c.watch.troubleAt = now
 	case state.IsLost():
 		c.log.Info().Str("peer", node.Name).Dur("age", age).Msg("followed node regained")
 		c.sources[node.Name] = follow.State{}
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -31,7 +31,8 @@
 // watchState is the state of the node's own watches. It belongs to the control goroutine.
 type watchState struct {
 	cancel context.CancelFunc
-	// failing tells that the last call to the store failed, troubleAt when the last failed.
+	// failing tells that the last call to the store failed. troubleAt is when a call
+	// failed last, of this node or of one that it follows.
 	failing   bool
 	troubleAt time.Time
 	// relist tells which kinds have to be read as a whole.
--- /dev/null
+++ b/testbed/edge/edge_test.go
@@ -0,0 +1,275 @@
+package edge
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fireflychute/fireflychute/testbed/instance"
+	"github.com/fireflychute/fireflychute/testbed/metastore"
+)
+
+// applied is how long the tests wait for what must come into force within seconds.
+const applied = "8s"
+
+// Guards against a fleet whose calls to the store grow with its size: six nodes make
+// hardly more calls than the two that watch.
+func TestFleetServesWithTwoWatchers(t *testing.T) {
+	w := newWorld(t, 6, 3)
+	w.start()
+	w.g.Expect(w.callAll()).To(Equal(w.each(http.StatusOK)))
+	w.g.Eventually(func() int { objects, _ := w.store.List("fireflychute-nodes"); return len(objects) }, applied).Should(Equal(6))
+	time.Sleep(time.Second) // the plans of all nodes settle
+	before := w.server.Calls()[http.MethodGet]
+	time.Sleep(2 * time.Second)
+	w.g.Expect(w.server.Calls()[http.MethodGet]-before).To(BeNumerically("<=", 2*6*2), "two nodes watch six kinds, each answer takes 2 s or more")
+}
+
+// Guards (P10) against a configuration that does not come into force on all nodes, or
+// is replaced by one that cannot be carried out.
+func TestConfigurationComesIntoForceEverywhere(t *testing.T) {
+	w := newWorld(t, 4, 3)
+	w.start()
+	w.configure("0000000c", "other", 10)
+	w.g.Eventually(w.callAll, applied, "50ms").Should(Equal(w.each(http.StatusServiceUnavailable)), "no target of the other service")
+	w.store.PutRaw("config", "main", json.RawMessage(`{"version":"0000000d","vhosts":[{"host":"h.example","paths":[{"path-prefix":"/x/"}]}]}`))
+	w.store.PutRaw("config", "main", json.RawMessage(`"cut sh"`))
+	time.Sleep(time.Second)
+	w.g.Expect(w.callAll()).To(Equal(w.each(http.StatusServiceUnavailable)), "the last good one holds")
+	w.configure("0000000f", "s", 10)
+	w.g.Eventually(w.callAll, applied, "50ms").Should(Equal(w.each(http.StatusOK)))
+}
+
+// Guards against nodes that the store turns away not learning of changes from others.
+func TestNodeWithoutStoreLearnsFromPeers(t *testing.T) {
+	w := newWorld(t, 4, 2)
+	w.nodes[3].storeAddress = freeAddress(w.g)
+	w.start()
+	w.configure("0000000c", "other", 10)
+	w.g.Eventually(w.callAll, applied, "50ms").Should(Equal(w.each(http.StatusServiceUnavailable)))
+}
+
+// Guards (P8) against work for an instance after it said that it leaves, and after
+// its entry was removed.
+func TestLeavingInstancesGetNothing(t *testing.T) {
+	w := newWorld(t, 3, 3)
+	w.start()
+	w.register(w.instances[0], "v1", "draining")
+	w.store.Remove("servers", w.instances[1].ID())
+	counts := func() []int { return []int{len(w.instances[0].Runs()), len(w.instances[1].Runs())} }
+	w.g.Eventually(func() bool {
+		before := counts()
+		for range 5 {
+			w.callAll()
+		}
+		return slices.Equal(before, counts())
+	}, applied).Should(BeTrue())
+	before := counts()
+	for range 20 {
+		w.g.Expect(w.callAll()).To(Equal(w.each(http.StatusOK)))
+	}
+	w.g.Expect(counts()).To(Equal(before))
+}
+
+// Guards against entries that cannot be read taking other targets out, or naming one.
+func TestForgedEntriesNameNoTarget(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.store.PutRaw("servers", "forged-1", json.RawMessage(`"bytes"`))
+	w.store.PutRaw("servers", "forged-2", json.RawMessage(`{"address":7,"info":[],"status":{"state":"ready"}}`))
+	w.store.Put("servers", "forged-3", map[string]any{"address": "127.0.0.1:1", "info": map[string]any{"service": "s", "zone": "dc1", "slots": 6}, "status": map[string]any{"state": "sleeping"}})
+	w.start()
+	for range 10 {
+		w.g.Expect(w.callAll()).To(Equal(w.each(http.StatusOK)))
+	}
+}
+
+// Guards (P3) against work for a data centre that was taken out, and against its
+// targets staying out when it comes back.
+func TestDataCentreThatIsTakenOut(t *testing.T) {
+	w := newWorld(t, 3, 2)
+	w.start()
+	w.store.Put("evacuations", "dc1", map[string]any{})
+	w.g.Eventually(w.callAll, applied, "50ms").Should(Equal(w.each(http.StatusServiceUnavailable)))
+	w.store.Remove("evacuations", "dc1")
+	w.g.Eventually(w.callAll, applied, "50ms").Should(Equal(w.each(http.StatusOK)))
+}
+
+// Guards against an outage of the store that stops traffic, takes targets out whose
+// entries ran out meanwhile, or hides changes made after it.
+func TestStoreOutage(t *testing.T) {
+	for name, faults := range map[string]metastore.Faults{
+		"refuses": {Status: http.StatusServiceUnavailable},
+		"silent":  {Silent: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 3, 2)
+			w.start()
+			w.server.SetFaults(faults)
+			w.store.Compact()
+			time.Sleep(3 * time.Second)
+			for _, i := range w.instances {
+				w.store.Remove("servers", i.ID())
+			}
+			w.g.Expect(w.callAll()).To(Equal(w.each(http.StatusOK)))
+			w.server.SetFaults(metastore.Faults{})
+			for range 10 {
+				time.Sleep(100 * time.Millisecond)
+				w.g.Expect(w.callAll()).To(Equal(w.each(http.StatusOK)))
+			}
+			for _, i := range w.instances {
+				w.register(i, "v1", "ready")
+			}
+			w.configure("0000000c", "other", 10)
+			w.g.Eventually(w.callAll, applied, "50ms").Should(Equal(w.each(http.StatusServiceUnavailable)))
+		})
+	}
+}
+
+// Guards against a write whose answer was lost being repeated blindly, or never made.
+func TestLostAnswersOfWrites(t *testing.T) {
+	w := newWorld(t, 3, 2)
+	w.server.SetFaults(metastore.Faults{LoseWrites: true})
+	w.start()
+	w.g.Eventually(func() int { objects, _ := w.store.List("fireflychute-nodes"); return len(objects) }, applied).Should(Equal(3))
+	w.g.Expect(w.callAll()).To(Equal(w.each(http.StatusOK)))
+}
+
+// Guards against a fleet that does not come back when all its nodes ended at once.
+func TestAllNodesRestart(t *testing.T) {
+	w := newWorld(t, 4, 2)
+	w.start()
+	for _, n := range w.nodes {
+		n.signals <- syscall.SIGTERM
+	}
+	for _, n := range w.nodes {
+		w.stop(n)
+	}
+	w.start()
+	w.g.Expect(w.callAll()).To(Equal(w.each(http.StatusOK)))
+}
+
+// Guards (P9) against a planned stop that cuts a request, and against a node that
+// goes on saying that it is ready.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	w := newWorld(t, 2, 2)
+	w.notice = 2 * time.Second
+	w.start()
+	n := w.nodes[1]
+	failures := make(chan int, 1000)
+	stop := make(chan struct{})
+	for range 4 {
+		go func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if status := w.call(n); status != http.StatusOK && status != http.StatusServiceUnavailable {
+					select {
+					case <-n.ended:
+						return // the process is gone
+					default:
+						failures <- status
+					}
+				}
+			}
+		}()
+	}
+	n.signals <- syscall.SIGTERM
+	w.g.Eventually(func() int { return w.get(n.ready, "/v1/ready") }, "1s", "10ms").Should(Equal(http.StatusServiceUnavailable))
+	time.Sleep(2 * time.Second)
+	close(stop)
+	time.Sleep(100 * time.Millisecond)
+	w.g.Expect(failures).To(BeEmpty())
+	w.g.Expect(w.call(w.nodes[0])).To(Equal(http.StatusOK))
+}
+
+// Guards against SIGHUP ending the process or a request.
+func TestReloadKeepsServing(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.start()
+	for range 3 {
+		w.nodes[0].signals <- syscall.SIGHUP
+		w.g.Expect(w.callAll()).To(Equal(w.each(http.StatusOK)))
+	}
+}
+
+// order starts a rollout to v2 and returns its instances.
+func (w *world) order(count int, duration float64, faults instance.Faults) []*instance.Instance {
+	var started []*instance.Instance
+	for i := range count {
+		fresh, err := instance.Start(instance.Options{ID: "new-" + string(rune('a'+i)), Slots: 6, Work: 5 * time.Millisecond, Body: answerBody})
+		w.g.Expect(err).NotTo(HaveOccurred())
+		w.t.Cleanup(fresh.Stop)
+		fresh.SetFaults(faults)
+		w.register(fresh, "v2", "ready")
+		started = append(started, fresh)
+	}
+	w.store.Put("rollouts", "s", map[string]any{"service": "s", "target-version": "v2", "duration-s": duration})
+	return started
+}
+
+func (w *world) rolloutState() string {
+	object, _ := w.store.Get("rollouts", "s")
+	var status struct {
+		State string `json:"state"`
+	}
+	if json.Unmarshal(object.Status, &status) != nil {
+		return ""
+	}
+	return status.State
+}
+
+// load calls all nodes until the returned function is called.
+func (w *world) load(pause time.Duration) (stop func()) {
+	ended := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-ended:
+				return
+			case <-time.After(pause):
+				w.callAll()
+			}
+		}
+	}()
+	return func() {
+		close(ended)
+		<-done
+	}
+}
+
+// Guards (P4) against a bad version that stays in use or gets many requests.
+func TestBadVersionIsRolledBack(t *testing.T) {
+	w := newWorld(t, 3, 3)
+	w.start()
+	fresh := w.order(2, 20, instance.Faults{Status: 500})
+	defer w.load(10 * time.Millisecond)()
+	w.g.Eventually(w.rolloutState, "20s", "50ms").Should(Equal("rolled_back"))
+	runs := len(fresh[0].Runs()) + len(fresh[1].Runs())
+	time.Sleep(500 * time.Millisecond)
+	w.g.Expect(len(fresh[0].Runs())+len(fresh[1].Runs())).To(BeNumerically("<=", runs+2))
+}
+
+// Guards against a good version that is not moved in time.
+func TestGoodVersionCompletes(t *testing.T) {
+	w := newWorld(t, 3, 3)
+	w.start()
+	fresh := w.order(3, 8, instance.Faults{})
+	defer w.load(10 * time.Millisecond)()
+	w.g.Eventually(w.rolloutState, "9s", "50ms").Should(Equal("complete"))
+	w.g.Expect(fresh[0].Runs()).NotTo(BeEmpty())
+	w.g.Eventually(func() bool {
+		before := len(w.instances[0].Runs())
+		time.Sleep(200 * time.Millisecond)
+		return len(w.instances[0].Runs()) == before
+	}, applied).Should(BeTrue(), "the old targets get nothing")
+}
