--- a/pkg/edge/controller.go
+++ b/pkg/edge/controller.go
@@ -29,8 +29,11 @@
 	// nodes, from which on a node looks for the store by itself.
 	staleTime = 4 * time.Second
 	// seedTime is how long a starting node waits for its seeds before it reads the
-	// store by itself. Without it each start costs a read of every kind.
-	seedTime = 600 * time.Millisecond
+	// store by itself: seeds that are up answer within it. Without it each start costs
+	// a read of every kind. firstSeedTime is the same when the whole fleet starts for
+	// the first time, before there is traffic.
+	seedTime      = 80 * time.Millisecond
+	firstSeedTime = 600 * time.Millisecond
 	// patienceTime is how long a starting node waits for recent data before it serves
 	// with what its peers have.
 	patienceTime = 3 * time.Second
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -25,6 +25,8 @@
 	// Seeds are peer addresses of at most three nodes, which may be down.
 	Seeds        []string
 	StoreAddress string
+	// FirstStart tells that the whole fleet starts for the first time.
+	FirstStart bool
 	// GraceTime is the time from SIGTERM to SIGKILL.
 	GraceTime time.Duration
 	// NoticeTime is how long a stopping node serves on before it refuses: by then the
--- a/pkg/edge/sync.go
+++ b/pkg/edge/sync.go
@@ -56,7 +56,11 @@
 // awaitsSeeds tells whether the node has just started and may get all it needs from
 // another node. Seeds themselves read the store at once.
 func (c *controller) awaitsSeeds(now time.Time) bool {
-	return now.Sub(c.started) < seedTime && len(c.seeds) > 0 && !slices.Contains(c.seeds, c.self.Address)
+	wait := seedTime
+	if c.options.Settings.FirstStart {
+		wait = firstSeedTime
+	}
+	return now.Sub(c.started) < wait && len(c.seeds) > 0 && !slices.Contains(c.seeds, c.self.Address)
 }
 
 // seedNodes are the nodes from the settings, which are followed until others are known.
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -39,8 +39,8 @@
 	rest io.Reader
 
 	tried []*topology.Target
-	// sent counts the sends that count as an attempt at a target.
-	sent int
+	// unreached counts the targets in tried that did not get the request.
+	unreached int
 	// widened tells that the preferred targets had no room, so all are asked.
 	widened bool
 	// unknown tells that an earlier send may have run.
@@ -102,7 +102,9 @@
 			c.giveUp(reason)
 			return
 		}
-		if c.send(chosen) {
+		r := c.run(chosen)
+		if r != nil {
+			c.pass(r)
 			return
 		}
 		reason = c.mayRepeat(window.Take)
@@ -127,7 +129,7 @@
 		return last.Failure
 	case c.rest != nil:
 		return last.Failure
-	case c.sent >= c.route.Attempts:
+	case len(c.tried)-c.unreached >= c.route.Attempts:
 		return ReasonAttempts
 	case last.NotRun && last.Status == 0:
 		return ""
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -34,6 +34,7 @@
 	randomMu sync.Mutex
 	random   *rand.Rand
 	windows  sync.Map // service name -> *retry.Window
+	paces    sync.Map // route name -> *pace
 	inFlight atomic.Int64
 	stopping atomic.Bool
 	refusing atomic.Bool
--- a/pkg/forward/place.go
+++ b/pkg/forward/place.go
@@ -80,7 +80,7 @@
 		drawn, canary = c.service.Draw(random)
 		return drawn
 	})
-	if canary && len(c.record.Tries) > 0 {
+	if canary && len(c.tried) > 0 {
 		// A request that failed once is not sent to a version on trial again.
 		return c.service.Main, false
 	}
--- a/pkg/forward/record.go
+++ b/pkg/forward/record.go
@@ -19,6 +19,7 @@
 	ReasonBudget          = "retry budget used up"
 	ReasonCallerLeft      = "caller left"
 	ReasonBroken          = "target broke off"
+	ReasonTargetRefused   = "target refused"
 	ReasonWrongAnswer     = "target answered with something else"
 )
 
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -13,16 +13,9 @@
 	"github.com/fireflychute/fireflychute/pkg/transport"
 )
 
-const (
-	// keptBytes is how much of an answer is read before the caller gets any of it. An
-	// answer that breaks off before can still be replaced.
-	keptBytes = 128 << 10
-	// tryObjectives is how many times the objective a send of an idempotent request
-	// may take while there is time for another.
-	tryObjectives = 1.6
-	// minTryShare is the least part of the remaining time that such a send gets.
-	minTryShare = 0.45
-)
+// keptBytes is how much of an answer is read before the caller gets any of it. An
+// answer that breaks off before can still be replaced.
+const keptBytes = 128 << 10
 
 // hopByHop are the headers that concern one connection only.
 var hopByHop = []string{
@@ -30,44 +23,134 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
-// send sends the request to the chosen target. It returns true when the request
-// has been answered.
-func (c *call) send(chosen *choice) bool {
+// result is what came of one send.
+type result struct {
+	try    Try
+	target *topology.Target
+	// answer is set when the target answered well; kept is the beginning of its body.
+	answer *http.Response
+	kept   []byte
+	info   AnswerInfo
+	sent   time.Time
+	cancel context.CancelFunc
+}
+
+// discard ends a send whose answer is not needed.
+func (r *result) discard() {
+	r.cancel()
+	if r.answer != nil {
+		_ = r.answer.Body.Close()
+		r.target.Observed.Abandon()
+	}
+}
+
+// launch sends the request to the chosen target in the background.
+func (c *call) launch(chosen *choice, results chan<- *result) context.CancelFunc {
 	target := chosen.target
 	c.tried = append(c.tried, target)
-	c.record.Tries = append(c.record.Tries, Try{
+	ctx, cancel := context.WithCancel(c.ctx)
+	out := c.outgoing(ctx, target)
+	r := &result{target: target, cancel: cancel, sent: time.Now(), try: Try{
 		Target: target.ID, Version: target.Version, Canary: chosen.canary, Order: c.service.Order,
 		Cold: chosen.candidate.Cold, Asked: chosen.asked, Heard: chosen.answered, Cost: chosen.cost,
 		Age: time.Since(chosen.at),
-	})
-	ctx, cancel := c.tryContext()
-	defer cancel()
+	}}
 	target.Observed.Begin()
-	sent := time.Now()
-	answer, err := c.handler.options.Client.Do(c.outgoing(ctx, target), target.Connections)
+	go func() {
+		c.exchange(ctx, r, out)
+		results <- r
+	}()
+	return cancel
+}
+
+// exchange makes one send and reads the beginning of the answer. It runs beside the
+// call, so it touches only the result and what was observed of the target.
+func (c *call) exchange(ctx context.Context, r *result, out *http.Request) {
+	answer, err := c.handler.options.Client.Do(out, r.target.Connections)
 	if err != nil {
-		c.sendFailed(target, sent, err)
-		return false
+		r.failed(ctx, err)
+		return
+	}
+	r.try.Status = answer.StatusCode
+	r.info = c.handler.options.Protocol.ReadAnswer(answer.StatusCode, answer.Header)
+	failure := c.checkAnswer(r)
+	if failure == "" {
+		r.kept, err = io.ReadAll(io.LimitReader(answer.Body, keptBytes+1))
+		if err != nil {
+			failure = ReasonBroken + ": " + err.Error()
+		}
+	}
+	r.try.Latency = time.Since(r.sent)
+	if failure == "" {
+		r.answer = answer
+		return
+	}
+	_ = answer.Body.Close()
+	r.rejected(ctx, failure)
+}
+
+// checkAnswer returns why an answer cannot be passed on, or nothing.
+func (c *call) checkAnswer(r *result) string {
+	switch {
+	case r.info.NotRun:
+		return ReasonTargetRefused
+	case !r.info.Genuine || r.info.RequestID != c.record.ID || r.info.PromisesNotRun && !c.route.Idempotent:
+		return ReasonWrongAnswer
+	case r.try.Status >= http.StatusInternalServerError && c.route.Idempotent && len(c.tried) < c.route.Attempts:
+		return "target answered with status " + strconv.Itoa(r.try.Status)
+	default:
+		return ""
+	}
+}
+
+// failed follows a send without an answer.
+func (r *result) failed(ctx context.Context, err error) {
+	now := time.Now()
+	var failure *transport.Error
+	r.try.Failure, r.try.Latency = err.Error(), now.Sub(r.sent)
+	r.try.NotRun = errors.As(err, &failure) && failure.NotRun
+	switch {
+	case ctx.Err() != nil:
+		r.try.Failed = errors.Is(ctx.Err(), context.DeadlineExceeded)
+		r.target.Observed.Abandon()
+	case r.try.NotRun:
+		r.try.Failed = true
+		r.target.Observed.Missed(now)
+		r.target.Observed.Abandon()
+	default:
+		r.try.Failed = true
+		r.target.Observed.End(now, true, 0)
+	}
+}
+
+// rejected notes an answer that cannot be passed on.
+func (r *result) rejected(ctx context.Context, failure string) {
+	r.try.Failure, r.try.NotRun = failure, r.info.NotRun
+	switch {
+	case r.info.NotRun:
+		if r.info.OtherTarget {
+			r.target.Observed.Leave()
+		}
+		r.target.Observed.Abandon()
+	case ctx.Err() != nil:
+		r.try.Failed = errors.Is(ctx.Err(), context.DeadlineExceeded)
+		r.target.Observed.Abandon()
+	default:
+		r.try.Failed = true
+		r.target.Observed.End(time.Now(), true, 0)
 	}
-	defer answer.Body.Close()
-	return c.receive(target, sent, answer)
 }
 
-func (c *call) try() *Try { return &c.record.Tries[len(c.record.Tries)-1] }
-
-// tryContext bounds one send. An idempotent request that takes long is given up in
-// time for another target, since a target that hangs says nothing.
-func (c *call) tryContext() (context.Context, context.CancelFunc) {
-	last := c.sent+1 >= c.route.Attempts
-	if !c.route.Idempotent || last || c.rest != nil {
-		return c.ctx, func() {}
-	}
-	left := time.Until(c.deadline)
-	longest := max(
-		time.Duration(float64(c.route.Objective)*tryObjectives),
-		time.Duration(float64(left)*minTryShare),
-	)
-	return context.WithTimeout(c.ctx, longest)
+// take notes the result of a send. It returns true when the answer can be passed on.
+func (c *call) take(r *result) bool {
+	c.record.Tries = append(c.record.Tries, r.try)
+	if !r.try.NotRun {
+		c.unknown = true
+	}
+	if r.info.OtherTarget || r.try.NotRun && r.try.Status == 0 {
+		c.unreached++
+	}
+	return r.answer != nil
 }
 
 func (c *call) outgoing(ctx context.Context, target *topology.Target) *http.Request {
@@ -100,110 +183,44 @@
 	}
 }
 
-// sendFailed follows a send without an answer.
-func (c *call) sendFailed(target *topology.Target, sent time.Time, err error) {
-	now := time.Now()
-	try := c.try()
-	try.Failure, try.Failed, try.Latency = err.Error(), true, now.Sub(sent)
-	var failure *transport.Error
-	try.NotRun = errors.As(err, &failure) && failure.NotRun
-	if !try.NotRun {
-		c.sent++
-		c.unknown = true
-	}
-	switch {
-	case c.ctx.Err() != nil:
-		try.Failed = c.request.Context().Err() == nil
-		target.Observed.Abandon()
-	case try.NotRun:
-		target.Observed.Missed(now)
-		target.Observed.Abandon()
-	default:
-		target.Observed.End(now, true, 0)
-	}
-}
-
-// receive decides what becomes of a target's answer.
-func (c *call) receive(target *topology.Target, sent time.Time, answer *http.Response) bool {
-	info := c.handler.options.Protocol.ReadAnswer(answer.StatusCode, answer.Header)
-	try := c.try()
-	try.Status = answer.StatusCode
-	c.sent++
-	if info.NotRun {
-		try.NotRun, try.Failure = true, "target refused"
-		if info.OtherTarget {
-			target.Observed.Leave()
-			c.sent--
-		}
-		target.Observed.Abandon()
-		return false
-	}
-	c.unknown = true
-	if !info.Genuine || info.RequestID != c.record.ID || info.PromisesNotRun && !c.route.Idempotent {
-		return c.reject(target, sent, ReasonWrongAnswer)
-	}
-	failed := answer.StatusCode >= http.StatusInternalServerError
-	if failed && c.route.Idempotent && c.sent < c.route.Attempts {
-		return c.reject(target, sent, "target answered with status "+strconv.Itoa(answer.StatusCode))
-	}
-	kept, err := io.ReadAll(io.LimitReader(answer.Body, keptBytes+1))
-	if err != nil {
-		return c.reject(target, sent, ReasonBroken+": "+err.Error())
-	}
-	c.pass(target, sent, answer, kept)
-	return true
-}
-
-// reject notes an answer that cannot be passed on.
-func (c *call) reject(target *topology.Target, sent time.Time, failure string) bool {
-	now := time.Now()
-	try := c.try()
-	try.Failed, try.Failure, try.Latency = true, failure, now.Sub(sent)
-	if c.ctx.Err() != nil {
-		target.Observed.Abandon()
-		return false
-	}
-	target.Observed.End(now, true, 0)
-	return false
-}
-
 // pass sends the answer to the caller. A long answer that breaks off ends as a
 // broken transfer.
-func (c *call) pass(target *topology.Target, sent time.Time, answer *http.Response, kept []byte) {
-	try := c.try()
-	copyHeader(c.w.Header(), answer.Header)
-	whole := len(kept) <= keptBytes
+func (c *call) pass(r *result) {
+	defer r.cancel()
+	defer r.answer.Body.Close()
+	copyHeader(c.w.Header(), r.answer.Header)
+	whole := len(r.kept) <= keptBytes
 	if whole && c.request.Method != http.MethodHead {
-		c.w.Header().Set("Content-Length", strconv.Itoa(len(kept)))
+		c.w.Header().Set("Content-Length", strconv.Itoa(len(r.kept)))
 	}
-	c.w.WriteHeader(answer.StatusCode)
-	_, callerErr := c.w.Write(kept)
-	written := int64(len(kept))
-	var err error
-	if !whole && callerErr == nil {
+	c.w.WriteHeader(r.try.Status)
+	written, err := c.w.Write(r.kept)
+	c.record.Bytes, c.record.Status = int64(written), r.try.Status
+	if !whole && err == nil {
 		var more int64
-		more, err = io.Copy(c.w, answer.Body)
-		written += more
+		more, err = io.Copy(c.w, r.answer.Body)
+		c.record.Bytes += more
 	}
-	now := time.Now()
-	try.Latency = now.Sub(sent)
-	c.record.Bytes, c.record.Status = written, answer.StatusCode
-	if callerErr == nil && err == nil {
-		try.Failed = answer.StatusCode >= http.StatusInternalServerError
-		target.Observed.End(now, try.Failed, try.Latency)
-		c.record.Outcome = OutcomeAnswered
-		return
+	if err != nil {
+		c.brokeOff(r, err)
+	}
+	failed := r.try.Status >= http.StatusInternalServerError
+	c.record.Tries[len(c.record.Tries)-1].Failed = failed
+	c.record.Outcome = OutcomeAnswered
+	r.target.Observed.End(time.Now(), failed, r.try.Latency)
+	if !failed {
+		c.handler.pace(c.route.Name).add(r.try.Latency)
 	}
-	c.brokeOff(target, now, errors.Join(callerErr, err))
 }
 
-func (c *call) brokeOff(target *topology.Target, now time.Time, err error) {
+// brokeOff ends the request as a broken transfer.
+func (c *call) brokeOff(r *result, err error) {
 	c.record.Outcome, c.record.Reason = OutcomeUnknown, err.Error()
 	if c.ctx.Err() != nil {
-		target.Observed.Abandon()
+		r.target.Observed.Abandon()
 	} else {
-		c.try().Failed = true
-		target.Observed.End(now, true, 0)
+		c.record.Tries[len(c.record.Tries)-1].Failed = true
+		r.target.Observed.End(time.Now(), true, 0)
 	}
 	panic(http.ErrAbortHandler)
 }
