--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -12,14 +12,8 @@
 	"github.com/fireflychute/fireflychute/pkg/topology"
 )
 
-const (
-	// repeatableBytes is the largest body that is kept to be sent once more.
-	repeatableBytes = 1 << 20
-	// Range of Retry-After on refusals. Callers that come back at once would meet the
-	// same load, and the spread keeps them from returning together.
-	minRetryAfter = 0.10 // seconds
-	maxRetryAfter = 0.40 // seconds
-)
+// repeatableBytes is the largest body that is kept to be sent once more.
+const repeatableBytes = 1 << 20
 
 // call is one request of a caller.
 type call struct {
@@ -29,6 +23,7 @@
 	topology *topology.Topology
 	route    *topology.Route
 	service  *topology.Service
+	state    *serviceState
 	began    time.Time
 	deadline time.Time
 	ctx      context.Context
@@ -94,8 +89,8 @@
 func (c *call) serve() {
 	c.service = withRandom(c.handler, c.route.Pick)
 	c.record.Service = c.service.Name
-	window := c.handler.window(c.service.Name, c.began)
-	window.Request(c.began)
+	c.state = c.handler.service(c.service.Name)
+	c.state.window.Request(c.began)
 	for {
 		chosen, reason := c.place()
 		if chosen == nil {
@@ -107,7 +102,7 @@
 			c.pass(r)
 			return
 		}
-		reason = c.mayRepeat(window.Take)
+		reason = c.mayRepeat(c.state.window.Take)
 		if reason != "" {
 			c.giveUp(reason)
 			return
@@ -159,8 +154,10 @@
 // refuse answers a request that has not run. It returns false for its callers' sake.
 func (c *call) refuse(status int, reason string) bool {
 	if status == http.StatusServiceUnavailable {
-		after := minRetryAfter + withRandom(c.handler, randomFraction)*(maxRetryAfter-minRetryAfter)
-		c.w.Header().Set("Retry-After", strconv.FormatFloat(after, 'f', 2, 64))
+		pressure := c.handler.service(c.record.Service).pressure
+		pressure.Note(true)
+		after := pressure.Return(withRandom(c.handler, randomFraction))
+		c.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
 	return c.answer(status, OutcomeNotRun, reason)
 }
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fireflychute/fireflychute/pkg/placement"
 	"github.com/fireflychute/fireflychute/pkg/retry"
 	"github.com/fireflychute/fireflychute/pkg/topology"
 	"github.com/fireflychute/fireflychute/pkg/transport"
@@ -33,7 +34,7 @@
 	options  Options
 	randomMu sync.Mutex
 	random   *rand.Rand
-	windows  sync.Map // service name -> *retry.Window
+	services sync.Map // service name -> *serviceState
 	paces    sync.Map // route name -> *pace
 	inFlight atomic.Int64
 	stopping atomic.Bool
@@ -61,12 +62,20 @@
 	return draw(h.random)
 }
 
-func (h *Handler) window(service string, now time.Time) *retry.Window {
-	known, ok := h.windows.Load(service)
+// serviceState is what the node keeps of a service from request to request.
+type serviceState struct {
+	window   *retry.Window
+	pressure *placement.Pressure
+}
+
+func (h *Handler) service(name string) *serviceState {
+	known, ok := h.services.Load(name)
 	if !ok {
-		known, _ = h.windows.LoadOrStore(service, retry.NewWindow(h.options.RetryWindow, now))
+		known, _ = h.services.LoadOrStore(name, &serviceState{
+			window: retry.NewWindow(h.options.RetryWindow, time.Now()), pressure: &placement.Pressure{},
+		})
 	}
-	return known.(*retry.Window)
+	return known.(*serviceState)
 }
 
 // ServeHTTP implements http.Handler.
--- a/pkg/forward/hedge.go
+++ b/pkg/forward/hedge.go
@@ -104,8 +104,7 @@
 		return nil
 	}
 	options := &c.handler.options
-	window := c.handler.window(c.service.Name, c.began)
-	if !window.Take(time.Now(), options.RetryRatio*hedgeBudget, options.RetryExtra*hedgeBudget/float64(c.topology.Fleet)) {
+	if !c.state.window.Take(time.Now(), options.RetryRatio*hedgeBudget, options.RetryExtra*hedgeBudget/float64(c.topology.Fleet)) {
 		return nil
 	}
 	return second
--- a/pkg/forward/place.go
+++ b/pkg/forward/place.go
@@ -210,26 +210,26 @@
 	if len(answers) == 0 {
 		return nil, ReasonNotAnswering
 	}
-	queue := placement.QueueShare(c.route.Priority)
+	reserve := c.service.Reserve(c.route.Priority)
 	interval := warmup.Interval(c.service.WarmupRate, c.topology.Fleet)
 	for _, healthy := range []bool{true, false} {
-		best := bestOf(answers, healthy, queue)
+		best := bestOf(answers, healthy, reserve)
 		for best != nil {
 			if best.target.Observed.Take(time.Now(), interval) {
 				return best, ""
 			}
 			answers = without(answers, best.target)
-			best = bestOf(answers, healthy, queue)
+			best = bestOf(answers, healthy, reserve)
 		}
 	}
 	return nil, ReasonNoRoom
 }
 
-func bestOf(answers []heard, healthy bool, queue float64) *choice {
+func bestOf(answers []heard, healthy bool, reserve int) *choice {
 	var best *choice
 	for i := range answers {
 		a := &answers[i]
-		if a.healthy != healthy || !placement.HasRoom(a.candidate, queue) {
+		if a.healthy != healthy || !placement.HasRoom(a.candidate, placement.Limit(a.candidate.Slots, reserve)) {
 			continue
 		}
 		cost := placement.Cost(a.candidate)
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -131,7 +131,9 @@
 		if r.info.OtherTarget {
 			r.target.Observed.Leave()
 		}
-		r.target.Observed.Abandon()
+		// A target that refuses although it said that it has room is no better than one
+		// that fails.
+		r.target.Observed.End(time.Now(), true, 0)
 	case ctx.Err() != nil:
 		r.try.Failed = errors.Is(ctx.Err(), context.DeadlineExceeded)
 		r.target.Observed.Abandon()
@@ -210,6 +212,7 @@
 	r.target.Observed.End(time.Now(), failed, r.try.Latency)
 	if !failed {
 		c.handler.pace(c.route.Name).add(r.try.Latency)
+		c.state.pressure.Note(false)
 	}
 }
 
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -58,25 +58,22 @@
 	return cost * (1 + failureCost*c.FailureRate)
 }
 
-// HasRoom tells whether a candidate takes a request that may find up to waiting
-// requests per slot in the queue.
-func HasRoom(c Candidate, waiting float64) bool {
-	queued := c.Running + c.Waiting + c.Pending - c.Slots
-	return float64(queued) < waiting*float64(max(1, c.Slots))
+// HasRoom tells whether a candidate takes one more request within a limit of
+// requests that run or wait there.
+func HasRoom(c Candidate, limit int) bool {
+	return c.Running+c.Waiting+c.Pending+1 <= limit
 }
 
-// QueueShare returns how many requests per slot may wait before a route of a
-// priority is refused. Less urgent routes are refused first, so that under
-// overload they never take the room of more urgent ones.
-func QueueShare(priority int) float64 {
-	switch {
-	case priority <= 0:
-		return 1.5
-	case priority == 1:
-		return 1.25
-	default:
-		return 1
-	}
+// queueShare is how many requests per slot may wait at a target. It covers short
+// peaks; more would only make late what could be answered elsewhere, or refused while
+// its caller can still come back.
+const queueShare = 0.5
+
+// Limit returns how many requests may run or wait at a target with a number of slots.
+// reserve slots are left free for more urgent routes, so that less urgent ones are
+// refused first and never take their room.
+func Limit(slots, reserve int) int {
+	return max(1, slots+int(queueShare*float64(slots))-reserve)
 }
 
 // Sample moves up to count random elements to the front and returns them.
--- a/pkg/topology/build.go
+++ b/pkg/topology/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -75,7 +76,7 @@
 		Services: map[string]*Service{}, hosts: map[string][]*Route{},
 	}
 	for name, service := range in.Configuration.Services {
-		t.Services[name] = &Service{Service: service}
+		t.Services[name] = &Service{Service: service, urgent: math.MaxInt}
 	}
 	b.addTargets(t, in)
 	for _, service := range t.Services {
@@ -94,7 +95,9 @@
 func (t *Topology) addRoute(route catalog.Route) {
 	added := &Route{Route: route}
 	for _, part := range route.Parts {
-		added.Services = append(added.Services, t.Services[part.Service])
+		service := t.Services[part.Service]
+		service.urgent = min(service.urgent, route.Priority)
+		added.Services = append(added.Services, service)
 		added.weight += part.Weight
 	}
 	t.hosts[route.Host] = append(t.hosts[route.Host], added)
--- a/pkg/topology/topology.go
+++ b/pkg/topology/topology.go
@@ -38,6 +38,17 @@
 	CanaryVersion string
 	// Order identifies the rollout.
 	Order uint64
+	// urgent is the priority of the most urgent route to the service.
+	urgent int
+}
+
+// Reserve returns how many slots of each target a route of a priority leaves free for
+// more urgent ones.
+func (s *Service) Reserve(priority int) int {
+	if priority > s.urgent {
+		return 1
+	}
+	return 0
 }
 
 // Target is a target that may be used.
