--- a/pkg/edge/controller.go
+++ b/pkg/edge/controller.go
@@ -72,6 +72,8 @@
 	register writeState
 	rollouts rolloutState
 
+	status status
+
 	changedMu sync.Mutex
 	changed   chan struct{}
 }
@@ -184,6 +186,8 @@
 		c.notify()
 	}
 	c.plan(ctx, now)
+	c.status.watching.Store(c.watch.cancel != nil)
+	c.status.heard.Store(c.heard.UnixMilli())
 	c.keepRegistered(ctx, now)
 	c.lead(ctx, now)
 }
@@ -347,6 +351,9 @@
 		c.log.Info().Int("targets", len(input.Targets)).Int("fleet", input.Fleet).Msg("node ready")
 	}
 	c.published.Store(c.builder.Build(input))
+	c.status.published.Add(1)
+	c.status.revision.Store(int64(c.view.revision))
+	c.status.fleet.Store(int64(input.Fleet))
 }
 
 var errNoAnswer = errors.New("peer sent no answer to a fetch")
--- a/pkg/edge/process.go
+++ b/pkg/edge/process.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/fireflychute/fireflychute/pkg/forward"
+	"github.com/fireflychute/fireflychute/pkg/telemetry"
 	"github.com/fireflychute/fireflychute/pkg/topology"
 	"github.com/fireflychute/fireflychute/pkg/transport"
 )
@@ -60,7 +61,7 @@
 	control   *controller
 	client    *transport.Client
 	draining  atomic.Bool
-	journal   *journal
+	meter     *meter
 }
 
 // Run serves until a signal ends the process. The error of a planned stop is nil.
@@ -70,7 +71,11 @@
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	return New(options).Serve(signals)
+	p, err := New(options)
+	if err != nil {
+		return err
+	}
+	return p.Serve(signals)
 }
 
 // Serve runs the node until a signal other than SIGHUP arrives.
@@ -83,20 +88,24 @@
 }
 
 // New returns a node that does not serve yet.
-func New(options Options) *Process {
+func New(options Options) (*Process, error) {
 	p := &Process{options: options, log: options.Log}
+	metrics, err := telemetry.New(context.Background(), telemetry.Options{Node: options.Settings.Node})
+	if err != nil {
+		return nil, errors.Wrap(err, "start telemetry")
+	}
+	p.meter = &meter{telemetry: metrics}
 	settings := &options.Settings
 	p.client = transport.NewClientWith(transport.Options{IdleTime: idleConnectionTime, Silence: targetSilence})
-	p.journal = newJournal(options.Log)
 	p.control = newController(options, &p.published, p.client)
 	p.handler = forward.NewHandler(forward.Options{
 		Published: &p.published, Client: p.client, Protocol: options.Protocol,
-		Observer:   observers{p.journal, p.control.outcomes},
+		Observer:   observers{newJournal(options.Log), p.control.outcomes, p.meter},
 		RetryRatio: settings.RetryRatio * budgetShare, RetryExtra: settings.RetryExtra * budgetShare,
 		RetryWindow: settings.RetryWindow,
 		Random:      rand.NewPCG(rand.Uint64(), rand.Uint64()),
 	})
-	return p
+	return p, metrics.Observe(p.observe)
 }
 
 // budgetShare is the part of the fleet's retry budget that is used. The rest covers
@@ -121,6 +130,13 @@
 	if err != nil {
 		return err
 	}
+	if p.options.Settings.MetricsListen != "" {
+		err = p.addServer(&group, p.options.Settings.MetricsListen, p.metricsServer(), closeNow)
+		if err != nil {
+			// Requests matter more than metrics.
+			p.log.Warn().Err(err).Msg("no metrics are served")
+		}
+	}
 	err = group.Run()
 	if errors.Is(err, errStopped) {
 		return nil
@@ -219,9 +235,11 @@
 }
 
 func (p *Process) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if p.draining.Load() || p.published.Load() == nil {
+	if !p.isReady() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
+
+func (p *Process) isReady() bool { return !p.draining.Load() && p.published.Load() != nil }
--- a/pkg/edge/register.go
+++ b/pkg/edge/register.go
@@ -61,8 +61,10 @@
 		object, err := call(limited)
 		c.do(ctx, func() {
 			now := time.Now()
+			c.status.calls.Add(1)
 			state.busy, state.next = false, now.Add(min(writePause<<state.misses, maxWritePause))
 			if err != nil {
+				c.status.callsFailed.Add(1)
 				state.misses = min(state.misses+1, 6)
 				c.log.Warn().Err(err).Int("kind", int(kind)).Msg("write to the store failed; it is decided again")
 				return
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -201,6 +201,7 @@
 		base.Canary = false
 		if canary.BadHere(local[base], row) {
 			t.blocked = true
+			c.status.blocked.Add(1)
 			c.log.Warn().Str("service", order.Service).Str("version", order.Version).Str("route", key.Route).
 				Uint64("requests", row.Requests).Uint64("failures", row.Failures).Msg("version blocked on this node's evidence")
 			c.publish(now)
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -155,7 +155,9 @@
 
 // noteStore notes the result of a call to the store.
 func (c *controller) noteStore(now time.Time, err error) {
+	c.status.calls.Add(1)
 	if err != nil {
+		c.status.callsFailed.Add(1)
 		c.watch.troubleAt = now
 		if !c.watch.failing {
 			c.watch.failing = true
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -64,6 +64,10 @@
 	PeerSent         = "fireflychute.peer.sent"
 	PeerReceived     = "fireflychute.peer.received"
 	PeerDropped      = "fireflychute.peer.dropped"
+	Questions        = "fireflychute.questions"
+	QuestionFailures = "fireflychute.questions.failures"
+	StoreAge         = "fireflychute.store.age"
+	Watching         = "fireflychute.watching"
 )
 
 // Metrics is the table of all metrics, from which the instruments and the page
@@ -93,4 +97,8 @@
 	{PeerSent, ObservedCounter, "By", "Bytes of messages written to peers, without TLS and TCP.", nil},
 	{PeerReceived, ObservedCounter, "By", "Bytes of messages read from peers, without TLS and TCP.", nil},
 	{PeerDropped, ObservedCounter, "{message}", "Messages to peers dropped because a queue was full.", nil},
+	{Questions, ObservedCounter, "{question}", "Load questions asked before sends, on the users' platform.", nil},
+	{QuestionFailures, ObservedCounter, "{question}", "Load questions without an answer.", nil},
+	{StoreAge, Gauge, "ms", "Time since the node or one that it follows last reached the platform's store.", nil},
+	{Watching, Gauge, "{node}", "1 when the node watches the platform's store.", nil},
 }
--- /dev/null
+++ b/testbed/cmd/soak/main.go
@@ -0,0 +1,83 @@
+// Command soak plays seeds of the fault soak against real nodes on loopback.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/fireflychute/fireflychute/testbed/soak"
+)
+
+type options struct {
+	Binary   string  `long:"binary" default:"bin/fireflychute" description:"program of the nodes"`
+	Seed     uint64  `long:"seed" default:"1" description:"first seed"`
+	Seeds    int     `long:"seeds" default:"1" description:"number of seeds"`
+	Seconds  float64 `long:"seconds" default:"12" description:"length of the faults of one seed"`
+	Parallel int     `long:"parallel" default:"2" description:"seeds at the same time"`
+	Logs     string  `long:"logs" default:"tmp/soak" description:"folder for settings and logs"`
+}
+
+func main() {
+	var opts options
+	_, err := flags.Parse(&opts)
+	if err != nil {
+		os.Exit(2)
+	}
+	if !play(opts) {
+		os.Exit(1)
+	}
+}
+
+// play plays the seeds and returns whether all held.
+func play(opts options) bool {
+	var mu sync.Mutex
+	failed := 0
+	seeds := make(chan uint64)
+	var running sync.WaitGroup
+	for range opts.Parallel {
+		running.Go(func() {
+			for seed := range seeds {
+				result, err := soak.Run(soak.Options{
+					Binary: opts.Binary, Seed: seed, Length: time.Duration(opts.Seconds * float64(time.Second)),
+					Folder: filepath.Join(opts.Logs, strconv.FormatUint(seed, 10)),
+				})
+				mu.Lock()
+				if !report(seed, result, err) {
+					failed++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for i := range opts.Seeds {
+		seeds <- opts.Seed + uint64(i)
+	}
+	close(seeds)
+	running.Wait()
+	fmt.Printf("%d passed, %d failed\n", opts.Seeds-failed, failed)
+	return failed == 0
+}
+
+func report(seed uint64, result soak.Result, err error) bool {
+	if err != nil {
+		fmt.Printf("seed %d: %v\n", seed, err)
+		return false
+	}
+	fmt.Printf("seed %d: %d faults, %d requests served, %d promises broken\n", seed, len(result.Faults), result.Served, len(result.Failures))
+	if len(result.Failures) == 0 {
+		return true
+	}
+	for _, fault := range result.Faults {
+		fmt.Println("  ", fault)
+	}
+	for _, failure := range result.Failures {
+		fmt.Println("  BROKEN", failure)
+	}
+	return false
+}
--- a/testbed/edge/edge_test.go
+++ b/testbed/edge/edge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"syscall"
@@ -256,7 +257,7 @@
 	w.g.Eventually(w.rolloutState, "20s", "50ms").Should(Equal("rolled_back"))
 	runs := len(fresh[0].Runs()) + len(fresh[1].Runs())
 	time.Sleep(500 * time.Millisecond)
-	w.g.Expect(len(fresh[0].Runs())+len(fresh[1].Runs())).To(BeNumerically("<=", runs+2))
+	w.g.Expect(len(fresh[0].Runs()) + len(fresh[1].Runs())).To(BeNumerically("<=", runs+2))
 }
 
 // Guards against a good version that is not moved in time.
@@ -273,3 +274,19 @@
 		return len(w.instances[0].Runs()) == before
 	}, applied).Should(BeTrue(), "the old targets get nothing")
 }
+
+// Guards against a node whose metrics cannot be read, or do not show its requests.
+func TestMetricsShowRequests(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.start()
+	w.callAll()
+	answer, err := http.Get("http://" + w.nodes[0].metrics + "/metrics")
+	w.g.Expect(err).NotTo(HaveOccurred())
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	w.g.Expect(err).NotTo(HaveOccurred())
+	w.g.Expect(string(text)).To(And(
+		ContainSubstring(`fireflychute_requests_total{class="2"`), ContainSubstring("fireflychute_request_duration_seconds_bucket"),
+		ContainSubstring("fireflychute_questions_total"), ContainSubstring("fireflychute_watching"),
+	))
+}
--- a/testbed/edge/world_test.go
+++ b/testbed/edge/world_test.go
@@ -41,6 +41,7 @@
 	front   string
 	ready   string
 	control string
+	metrics string
 	// storeAddress differs from the store's for a node that is cut off from it.
 	storeAddress string
 	signals      chan os.Signal
@@ -64,7 +65,7 @@
 	w.configure("0000000a", "s", 10)
 	for i := range nodes {
 		w.nodes = append(w.nodes, &node{
-			name: fmt.Sprintf("n%d", i), front: freeAddress(w.g), ready: freeAddress(w.g), control: freeAddress(w.g), storeAddress: w.address,
+			name: fmt.Sprintf("n%d", i), front: freeAddress(w.g), ready: freeAddress(w.g), control: freeAddress(w.g), metrics: freeAddress(w.g), storeAddress: w.address,
 		})
 	}
 	return w
@@ -113,7 +114,7 @@
 	n.signals, n.ended = make(chan os.Signal, 4), make(chan error, 1)
 	settings := edge.Settings{
 		Node: n.name, DataCentre: "dc1", Regions: map[string]string{"dc1": "r1"}, Processor: 1, LinkMbps: 1000,
-		CallerListen: n.front, ReadyListen: n.ready, PeerListen: n.control, Seeds: []string{w.nodes[0].control},
+		CallerListen: n.front, ReadyListen: n.ready, PeerListen: n.control, MetricsListen: n.metrics, Seeds: []string{w.nodes[0].control},
 		StoreAddress: n.storeAddress, GraceTime: 4 * time.Second, NoticeTime: w.notice, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 64,
 		CanaryShare: 0.1, CanarySlack: 50,
 	}
@@ -121,11 +122,12 @@
 	if os.Getenv("EDGE_TEST_LOG") != "" {
 		log = zerolog.New(os.Stderr).With().Timestamp().Str("node", n.name).Logger()
 	}
-	p := edge.New(edge.Options{
+	p, err := edge.New(edge.Options{
 		Settings: settings, Store: platform.NewStore(settings.StoreAddress), Codec: platform.Codec{}, Protocol: platform.Protocol{},
 		ReadyPath: platform.ReadyPath, Log: log,
 		Reload: func() (edge.Settings, error) { return settings, nil },
 	})
+	w.g.Expect(err).NotTo(HaveOccurred())
 	go func() { n.ended <- p.Serve(n.signals) }()
 }
 
--- /dev/null
+++ b/testbed/soak/world.go
@@ -0,0 +1,234 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/fireflychute/fireflychute/testbed/instance"
+	"github.com/fireflychute/fireflychute/testbed/metastore"
+)
+
+// Sizes of a soak.
+const (
+	nodeCount     = 4
+	instanceCount = 5
+	answerBody    = "soak answer"
+	graceTime     = 3 * time.Second
+)
+
+// world is the processes and stand-ins of one soak.
+type world struct {
+	folder    string
+	binary    string
+	store     *metastore.Store
+	server    *metastore.Server
+	storeAt   string
+	nodes     []*node
+	instances []*instance.Instance
+	// changedAt is when the configuration in force was acknowledged.
+	mu      sync.Mutex
+	version int
+}
+
+// node is one process and its path to the store.
+type node struct {
+	name, front, ready, control string
+	path                        *Proxy
+	mu                          sync.Mutex
+	command                     *exec.Cmd
+	ended                       chan struct{}
+	// disturbed is until when the node is not held to time bounds.
+	disturbed time.Time
+	paused    bool
+	stopping  bool
+}
+
+func newWorld(folder, binary string) (*world, error) {
+	w := &world{folder: folder, binary: binary, store: metastore.New()}
+	w.server = metastore.NewServer(w.store)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	go func() { _ = http.Serve(listener, w.server) }() // ends with the process
+	w.storeAt = listener.Addr().String()
+	for i := range instanceCount {
+		started, err := instance.Start(instance.Options{ID: fmt.Sprintf("i-%d", i), Slots: 6, Work: 20 * time.Millisecond, Body: answerBody})
+		if err != nil {
+			return nil, err
+		}
+		w.instances = append(w.instances, started)
+		w.register(started, "ready")
+	}
+	w.configure()
+	for i := range nodeCount {
+		n, err := w.newNode(i)
+		if err != nil {
+			return nil, err
+		}
+		w.nodes = append(w.nodes, n)
+	}
+	return w, nil
+}
+
+func (w *world) newNode(i int) (*node, error) {
+	path, err := NewProxy(w.storeAt)
+	if err != nil {
+		return nil, err
+	}
+	n := &node{name: fmt.Sprintf("n%d", i), path: path}
+	for _, address := range []*string{&n.front, &n.ready, &n.control} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		*address = listener.Addr().String()
+		defer listener.Close()
+	}
+	return n, nil
+}
+
+func (w *world) register(i *instance.Instance, state string) {
+	w.store.Put("servers", i.ID(), map[string]any{
+		"address": i.Address(), "born": 1700000000000,
+		"info":   map[string]any{"service": "s", "version": "v1", "zone": "dc1", "slots": 6},
+		"status": map[string]any{"state": state, "seq": 1, "warmup-left-s": 0},
+	})
+}
+
+// configure writes the next version. Each version adds a route that names it, by
+// which callers see what is in force at a node, and drops that of two versions before.
+func (w *world) configure() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version++
+	path := func(prefix, kind string) map[string]any {
+		return map[string]any{
+			"name": prefix, "path-prefix": "/" + prefix + "/", "type": kind, "timeout-s": 2, "slo-s": 0.5,
+			"priority": 1, "service": "s", "attempts": 2,
+		}
+	}
+	w.store.Put("config", "main", map[string]any{
+		"version":  fmt.Sprintf("%08x", w.version),
+		"services": []any{map[string]any{"name": "s", "health-path": "/health", "max-conns": 260, "warmup-s": 1, "warmup-per-s": 10}},
+		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-s": 3, "idle-timeout-s": 15},
+		"vhosts": []any{map[string]any{"host": "h.example", "paths": []any{
+			path("safe", "safe"), path("unsafe", "unsafe"), path(versionPrefix(w.version), "safe"), path(versionPrefix(w.version-1), "safe"),
+		}}},
+	})
+}
+
+func versionPrefix(version int) string { return fmt.Sprintf("version-%d", version) }
+
+func (w *world) currentVersion() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.version
+}
+
+// settings writes a node's settings file and returns its path.
+func (w *world) settings(n *node) (string, error) {
+	path := filepath.Join(w.folder, n.name+".toml")
+	text := fmt.Sprintf(`[self]
+node = %q
+zone = "dc1"
+ip = "127.0.0.1"
+[self.limits]
+cpu-share = 1.0
+cores = 1
+memory-mb = 256
+link-mbps = 1000.0
+[network]
+seeds = [%q]
+[network.listen]
+front = %q
+ready = %q
+control = %q
+[network.zones]
+dc1 = "r1"
+[provider.provider]
+address = %q
+[terms.bounds]
+grace-s = %v
+retry-budget = 0.2
+budget-window-s = 10
+budget-extra = 64
+canary-share = 0.1
+canary-slack = 50
+`, n.name, w.nodes[0].control, n.front, n.ready, n.control, n.path.Address(), graceTime.Seconds())
+	return path, os.WriteFile(path, []byte(text), 0o600)
+}
+
+// start starts a node's process; its lines go to a file of its own.
+func (w *world) start(n *node) error {
+	path, err := w.settings(n)
+	if err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(w.folder, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	command := exec.Command(w.binary, "edge", "--settings", path)
+	command.Stdout, command.Stderr = log, log
+	err = command.Start()
+	if err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	n.mu.Lock()
+	n.command, n.ended, n.paused, n.stopping = command, ended, false, false
+	n.mu.Unlock()
+	go func() {
+		_ = command.Wait() // signals end it with an error
+		_ = log.Close()
+		close(ended)
+	}()
+	return nil
+}
+
+// signal sends a signal to a node's process.
+func (n *node) signal(signal syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_ = n.command.Process.Signal(signal) // it may have ended by itself
+}
+
+// disturb notes that the node is disturbed now and for a time.
+func (n *node) disturb(duration time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	until := time.Now().Add(duration)
+	if until.After(n.disturbed) {
+		n.disturbed = until
+	}
+}
+
+// calmFor tells for how long the node has been undisturbed.
+func (n *node) calmFor() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Since(n.disturbed)
+}
+
+// stop kills what is left and ends the stand-ins.
+func (w *world) stop() {
+	for _, n := range w.nodes {
+		if n.command != nil {
+			n.signal(syscall.SIGCONT)
+			n.signal(syscall.SIGKILL)
+			<-n.ended
+		}
+		n.path.Close()
+	}
+	for _, i := range w.instances {
+		i.Stop()
+	}
+}
