Compress what nodes send each other, and let documents be longer than 64 KB

Ruled out: a higher limit on arrays (a short frame could announce a large allocation); fetching large objects from the store by each node. Conclusion: documents are strings in messages, bounded by the frame; answers of 4 KB or more are compressed once for all nodes at the same position.

--- a/cmd/fireflychute/edge.go
+++ b/cmd/fireflychute/edge.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	stdlog "log"
 	"os"
 
 	"github.com/rs/zerolog"
@@ -11,7 +12,9 @@
 
 // serveEdge runs a node on the users' platform.
 func serveEdge(path string) int {
-	log := zerolog.New(os.Stdout).With().Timestamp().Logger()
+	log := zerolog.New(os.Stdout).Level(zerolog.InfoLevel).With().Timestamp().Logger()
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(edge.LibraryLines(log)) // net/http logs faults of targets by itself
 	if path == "" {
 		path = os.Getenv(platform.SettingsVariable)
 	}
--- a/pkg/edge/controller.go
+++ b/pkg/edge/controller.go
@@ -60,6 +60,7 @@
 	view    view
 
 	peers   *peer.Client
+	packer  packer
 	seeds   []string
 	self    catalog.Node
 	follows map[string]context.CancelFunc
--- a/pkg/edge/journal.go
+++ b/pkg/edge/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"log"
 	"sync"
 	"time"
@@ -121,13 +122,16 @@
 // serverLog takes the lines that net/http logs by itself. Faults of clients can be
 // many and are no fault of the node.
 func serverLog(logger zerolog.Logger) *log.Logger {
-	return log.New(serverLines{logger}, "", 0)
+	return log.New(LibraryLines(logger), "", 0)
 }
 
-type serverLines struct{ log zerolog.Logger }
+// LibraryLines takes the lines that libraries log by themselves.
+func LibraryLines(logger zerolog.Logger) io.Writer { return libraryLines{logger} }
+
+type libraryLines struct{ log zerolog.Logger }
 
 // Write implements io.Writer.
-func (s serverLines) Write(line []byte) (int, error) {
+func (s libraryLines) Write(line []byte) (int, error) {
 	level := zerolog.DebugLevel
 	if bytes.Contains(line, []byte("panic serving")) {
 		level = zerolog.ErrorLevel
--- a/pkg/edge/sync.go
+++ b/pkg/edge/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/fireflychute/fireflychute/pkg/catalog"
@@ -15,7 +16,7 @@
 	// fetchWait is how long a followed node may wait for a change before it answers.
 	fetchWait = 400 * time.Millisecond
 	// fetchTimeout is when a followed node counts as lost.
-	fetchTimeout = 900 * time.Millisecond
+	fetchTimeout = 1200 * time.Millisecond
 )
 
 // plan starts and stops watches and follows as the fleet requires.
@@ -85,7 +86,11 @@
 		if ctx.Err() != nil {
 			return
 		}
-		c.do(ctx, func() { c.take(time.Now(), node, answer, err) })
+		var deltas []message.ReplicaDelta
+		if err == nil {
+			deltas, err = unpack(answer)
+		}
+		c.do(ctx, func() { c.take(time.Now(), node, answer, deltas, err) })
 		if err != nil {
 			pause(ctx, minBackoff)
 		}
@@ -117,7 +122,7 @@
 }
 
 // take merges the answer of a followed node.
-func (c *controller) take(now time.Time, node catalog.Node, answer *message.ReplicaAnswer, err error) {
+func (c *controller) take(now time.Time, node catalog.Node, answer *message.ReplicaAnswer, deltas []message.ReplicaDelta, err error) {
 	state := c.sources[node.Name]
 	if err != nil {
 		if !state.IsLost() {
@@ -138,8 +143,8 @@
 	if at := now.Add(-age); at.After(c.heard) {
 		c.heard = at
 	}
-	for i := range answer.Deltas {
-		delta, ok := deltaOf(&answer.Deltas[i])
+	for i := range deltas {
+		delta, ok := deltaOf(&deltas[i])
 		if !ok {
 			c.log.Warn().Str("peer", node.Name).Msg("unknown kind in the answer of a node")
 			continue
@@ -156,7 +161,7 @@
 	for i := range wire.Objects {
 		o := &wire.Objects[i]
 		delta.Objects = append(delta.Objects, replica.Object{
-			Name: o.Name, Revision: o.Revision, Created: o.Created, Spec: o.Spec, Status: o.Status, Lapsed: o.Lapsed,
+			Name: o.Name, Revision: o.Revision, Created: o.Created, Spec: []byte(o.Spec), Status: []byte(o.Status), Lapsed: o.Lapsed,
 		})
 	}
 	return delta, true
@@ -166,7 +171,7 @@
 	wire := message.ReplicaDelta{Kind: int(delta.Kind), Full: delta.Full, AsOf: delta.AsOf, Removed: delta.Removed}
 	for _, o := range delta.Objects {
 		wire.Objects = append(wire.Objects, message.ReplicaObject{
-			Name: o.Name, Revision: o.Revision, Created: o.Created, Spec: o.Spec, Status: o.Status, Lapsed: o.Lapsed,
+			Name: o.Name, Revision: o.Revision, Created: o.Created, Spec: string(o.Spec), Status: string(o.Status), Lapsed: o.Lapsed,
 		})
 	}
 	return wire
@@ -186,11 +191,17 @@
 	for {
 		changed := c.waitChannel()
 		var answer *message.ReplicaAnswer
-		if !c.do(ctx, func() { answer = c.answerTo(time.Now(), fetch) }) {
+		var key string
+		if !c.do(ctx, func() { answer, key = c.answerTo(time.Now(), fetch), c.positionKey(fetch) }) {
 			return nil
 		}
 		if len(answer.Deltas) > 0 {
-			return &message.Message{ReplicaAnswer: answer}
+			packed, err := c.packer.pack(key, answer)
+			if err != nil {
+				c.log.Error().Err(err).Str("peer", from).Msg("answer to a fetch cannot be sent")
+				return nil
+			}
+			return &message.Message{ReplicaAnswer: packed}
 		}
 		select {
 		case <-changed:
@@ -213,6 +224,18 @@
 	return answer
 }
 
+// positionKey identifies what an answer to a fetch holds: what the other node knows
+// and what this one does.
+func (c *controller) positionKey(fetch *message.ReplicaFetch) string {
+	key := make([]byte, 0, 16*len(fetch.Have))
+	for i, have := range fetch.Have {
+		key = strconv.AppendBool(key, have.Known)
+		key = strconv.AppendUint(append(key, ' '), have.AsOf, 16)
+		key = strconv.AppendUint(append(key, ' '), c.replica.AsOf(replica.Kind(i)), 16)
+	}
+	return string(key)
+}
+
 // staleness is the age of the last contact with the store as other nodes are to see
 // it: a node whose own calls fail is no source, however recent its last contact.
 func (c *controller) staleness(now time.Time) time.Duration {
--- a/pkg/message/codec_gen.go
+++ b/pkg/message/codec_gen.go
@@ -1450,20 +1450,11 @@
 			if z.ReplicaAnswer == nil {
 				o = msgp.AppendNil(o)
 			} else {
-				// map header, size 2
-				// string "deltas"
-				o = append(o, 0x82, 0xa6, 0x64, 0x65, 0x6c, 0x74, 0x61, 0x73)
-				o = msgp.AppendArrayHeader(o, uint32(len(z.ReplicaAnswer.Deltas)))
-				for za0001 := range z.ReplicaAnswer.Deltas {
-					o, err = z.ReplicaAnswer.Deltas[za0001].MarshalMsg(o)
-					if err != nil {
-						err = msgp.WrapError(err, "ReplicaAnswer", "Deltas", za0001)
-						return
-					}
+				o, err = z.ReplicaAnswer.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "ReplicaAnswer")
+					return
 				}
-				// string "staleMs"
-				o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x6c, 0x65, 0x4d, 0x73)
-				o = msgp.AppendInt(o, z.ReplicaAnswer.StaleMs)
 			}
 		}
 		if (zb0001Mask & 0x400) == 0 { // if not omitted
@@ -1713,61 +1704,11 @@
 				if z.ReplicaAnswer == nil {
 					z.ReplicaAnswer = new(ReplicaAnswer)
 				}
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.ReplicaAnswer.UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "ReplicaAnswer")
 					return
 				}
-				if zb0003 > zf88ce922limitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "ReplicaAnswer")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "deltas":
-						var zb0004 uint32
-						zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "ReplicaAnswer", "Deltas")
-							return
-						}
-						if zb0004 > zf88ce922limitArrays {
-							err = msgp.ErrLimitExceeded
-							return
-						}
-						if cap(z.ReplicaAnswer.Deltas) >= int(zb0004) {
-							z.ReplicaAnswer.Deltas = (z.ReplicaAnswer.Deltas)[:zb0004]
-						} else {
-							z.ReplicaAnswer.Deltas = make([]ReplicaDelta, zb0004)
-						}
-						for za0001 := range z.ReplicaAnswer.Deltas {
-							bts, err = z.ReplicaAnswer.Deltas[za0001].UnmarshalMsg(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "ReplicaAnswer", "Deltas", za0001)
-								return
-							}
-						}
-					case "staleMs":
-						z.ReplicaAnswer.StaleMs, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "ReplicaAnswer", "StaleMs")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "ReplicaAnswer")
-							return
-						}
-					}
-				}
 			}
 		case "replicaFetch":
 			if msgp.IsNil(bts) {
@@ -1831,18 +1772,18 @@
 				if z.VmAnswer == nil {
 					z.VmAnswer = new(VmAnswer)
 				}
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "VmAnswer")
 					return
 				}
-				if zb0005 > zf88ce922limitMaps {
+				if zb0003 > zf88ce922limitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0005 > 0 {
-					zb0005--
+				for zb0003 > 0 {
+					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "VmAnswer")
@@ -1850,27 +1791,27 @@
 					}
 					switch msgp.UnsafeString(field) {
 					case "list":
-						var zb0006 uint32
-						zb0006, bts, err = msgp.ReadBytesHeader(bts)
+						var zb0004 uint32
+						zb0004, bts, err = msgp.ReadBytesHeader(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "VmAnswer", "List")
 							return
 						}
-						if zb0006 > zf88ce922limitArrays {
+						if zb0004 > zf88ce922limitArrays {
 							err = msgp.ErrLimitExceeded
 							return
 						}
-						if z.VmAnswer.List == nil || uint32(cap(z.VmAnswer.List)) < zb0006 {
-							z.VmAnswer.List = make([]byte, zb0006)
+						if z.VmAnswer.List == nil || uint32(cap(z.VmAnswer.List)) < zb0004 {
+							z.VmAnswer.List = make([]byte, zb0004)
 						} else {
-							z.VmAnswer.List = z.VmAnswer.List[:zb0006]
+							z.VmAnswer.List = z.VmAnswer.List[:zb0004]
 						}
-						if uint32(len(bts)) < zb0006 {
+						if uint32(len(bts)) < zb0004 {
 							err = msgp.ErrShortBytes
 							return
 						}
-						copy(z.VmAnswer.List, bts[:zb0006])
-						bts = bts[zb0006:]
+						copy(z.VmAnswer.List, bts[:zb0004])
+						bts = bts[zb0004:]
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -1891,18 +1832,18 @@
 				if z.VmFetch == nil {
 					z.VmFetch = new(VmFetch)
 				}
-				var zb0007 uint32
-				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "VmFetch")
 					return
 				}
-				if zb0007 > zf88ce922limitMaps {
+				if zb0005 > zf88ce922limitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0007 > 0 {
-					zb0007--
+				for zb0005 > 0 {
+					zb0005--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "VmFetch")
@@ -1978,11 +1919,7 @@
 	if z.ReplicaAnswer == nil {
 		s += msgp.NilSize
 	} else {
-		s += 1 + 7 + msgp.ArrayHeaderSize
-		for za0001 := range z.ReplicaAnswer.Deltas {
-			s += z.ReplicaAnswer.Deltas[za0001].Msgsize()
-		}
-		s += 8 + msgp.IntSize
+		s += z.ReplicaAnswer.Msgsize()
 	}
 	s += 13
 	if z.ReplicaFetch == nil {
@@ -2414,9 +2351,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ReplicaAnswer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "deltas"
-	o = append(o, 0x82, 0xa6, 0x64, 0x65, 0x6c, 0x74, 0x61, 0x73)
+	o = append(o, 0x83, 0xa6, 0x64, 0x65, 0x6c, 0x74, 0x61, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Deltas)))
 	for za0001 := range z.Deltas {
 		o, err = z.Deltas[za0001].MarshalMsg(o)
@@ -2425,6 +2362,9 @@
 			return
 		}
 	}
+	// string "packed"
+	o = append(o, 0xa6, 0x70, 0x61, 0x63, 0x6b, 0x65, 0x64)
+	o = msgp.AppendString(o, z.Packed)
 	// string "staleMs"
 	o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x6c, 0x65, 0x4d, 0x73)
 	o = msgp.AppendInt(o, z.StaleMs)
@@ -2476,6 +2416,12 @@
 					return
 				}
 			}
+		case "packed":
+			z.Packed, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Packed")
+				return
+			}
 		case "staleMs":
 			z.StaleMs, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -2500,7 +2446,7 @@
 	for za0001 := range z.Deltas {
 		s += z.Deltas[za0001].Msgsize()
 	}
-	s += 8 + msgp.IntSize
+	s += 7 + msgp.StringPrefixSize + len(z.Packed) + 8 + msgp.IntSize
 	return
 }
 
@@ -2835,10 +2781,10 @@
 	o = msgp.AppendUint64(o, z.Revision)
 	// string "spec"
 	o = append(o, 0xa4, 0x73, 0x70, 0x65, 0x63)
-	o = msgp.AppendBytes(o, z.Spec)
+	o = msgp.AppendString(o, z.Spec)
 	// string "status"
 	o = append(o, 0xa6, 0x73, 0x74, 0x61, 0x74, 0x75, 0x73)
-	o = msgp.AppendBytes(o, z.Status)
+	o = msgp.AppendString(o, z.Status)
 	return
 }
 
@@ -2889,49 +2835,17 @@
 				return
 			}
 		case "spec":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+			z.Spec, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Spec")
 				return
 			}
-			if zb0002 > zf88ce922limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if z.Spec == nil || uint32(cap(z.Spec)) < zb0002 {
-				z.Spec = make([]byte, zb0002)
-			} else {
-				z.Spec = z.Spec[:zb0002]
-			}
-			if uint32(len(bts)) < zb0002 {
-				err = msgp.ErrShortBytes
-				return
-			}
-			copy(z.Spec, bts[:zb0002])
-			bts = bts[zb0002:]
 		case "status":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadBytesHeader(bts)
+			z.Status, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Status")
 				return
 			}
-			if zb0003 > zf88ce922limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if z.Status == nil || uint32(cap(z.Status)) < zb0003 {
-				z.Status = make([]byte, zb0003)
-			} else {
-				z.Status = z.Status[:zb0003]
-			}
-			if uint32(len(bts)) < zb0003 {
-				err = msgp.ErrShortBytes
-				return
-			}
-			copy(z.Status, bts[:zb0003])
-			bts = bts[zb0003:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2946,7 +2860,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ReplicaObject) Msgsize() (s int) {
-	s = 1 + 8 + msgp.Uint64Size + 7 + msgp.BoolSize + 5 + msgp.StringPrefixSize + len(z.Name) + 9 + msgp.Uint64Size + 5 + msgp.BytesPrefixSize + len(z.Spec) + 7 + msgp.BytesPrefixSize + len(z.Status)
+	s = 1 + 8 + msgp.Uint64Size + 7 + msgp.BoolSize + 5 + msgp.StringPrefixSize + len(z.Name) + 9 + msgp.Uint64Size + 5 + msgp.StringPrefixSize + len(z.Spec) + 7 + msgp.StringPrefixSize + len(z.Status)
 	return
 }
 
--- a/pkg/message/doc.go
+++ b/pkg/message/doc.go
@@ -6,7 +6,8 @@
 // a field can therefore not be added to them, only a new message type. All other
 // messages are maps whose unknown fields are skipped, so that nodes of two
 // versions can exchange them. Arrays and maps are limited in length on decoding, so
-// that a short frame cannot announce a large allocation.
+// that a short frame cannot announce a large allocation. Documents of the platform
+// can be longer than that limit; they are strings, whose length the frame bounds.
 package message
 
 //go:generate go tool -modfile=../../tools/go.mod go-jsonschema -p message --only-models --tags msg --schema-root-type messages.json=Message -o types_gen.go ../../schema/messages.json
--- a/pkg/message/types_gen.go
+++ b/pkg/message/types_gen.go
@@ -273,6 +273,9 @@
 	// What changed, by kind.
 	Deltas []ReplicaDelta `msg:"deltas"`
 
+	// A compressed answer with the changes, in place of the changes themselves.
+	Packed string `msg:"packed"`
+
 	// Age of the answering node's last contact with the store, in milliseconds.
 	StaleMs int `msg:"staleMs"`
 }
@@ -326,10 +329,10 @@
 	Revision uint64 `msg:"revision"`
 
 	// Spec as it was written.
-	Spec []byte `msg:"spec"`
+	Spec string `msg:"spec"`
 
 	// Status as it was written.
-	Status []byte `msg:"status"`
+	Status string `msg:"status"`
 }
 
 // How much of one kind of objects a node knows.
