Ask mostly targets in the node's own data centre

Ruled out: only local targets (a zone without room would refuse beside idle ones). Conclusion: three of five questions are local; a local target may be 1.3 times as slow and still be preferred.

--- a/pkg/forward/place.go
+++ b/pkg/forward/place.go
@@ -112,7 +112,7 @@
 		usable = held
 	}
 	return withRandom(c.handler, func(random *rand.Rand) []*topology.Target {
-		return placement.Sample(random, usable, questions)
+		return placement.SampleNear(random, usable, questions, func(t *topology.Target) bool { return t.Local })
 	})
 }
 
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -4,7 +4,10 @@
 // the least loaded of all without all nodes choosing the same one.
 package placement
 
-import "math/rand/v2"
+import (
+	"math"
+	"math/rand/v2"
+)
 
 const (
 	// busyShare is the share of used slots above which targets slow down.
@@ -18,7 +21,10 @@
 	failureCost = 12.0
 	// localGain is how much slower a target in the same data centre may be than one
 	// in another and still be preferred.
-	localGain = 1.15
+	localGain = 1.3
+	// localQuestions is the part of the questions that goes to targets in the same data
+	// centre, where there are enough.
+	localQuestions = 0.6
 )
 
 // Candidate is a target with the load that it has just told.
@@ -76,6 +82,23 @@
 	return max(1, slots+int(queueShare*float64(slots))-reserve)
 }
 
+// SampleNear draws up to count random elements, most of them local ones where there
+// are enough. Bytes between data centres cost, and the load does not differ between
+// them as long as each has targets with room.
+func SampleNear[T any](random *rand.Rand, all []T, count int, local func(T) bool) []T {
+	var near, far []T
+	for _, element := range all {
+		if local(element) {
+			near = append(near, element)
+		} else {
+			far = append(far, element)
+		}
+	}
+	wanted := max(int(math.Ceil(localQuestions*float64(count))), count-len(far))
+	drawn := Sample(random, near, wanted)
+	return append(drawn[:len(drawn):len(drawn)], Sample(random, far, count-len(drawn))...)
+}
+
 // Sample moves up to count random elements to the front and returns them.
 func Sample[T any](random *rand.Rand, all []T, count int) []T {
 	count = min(count, len(all))
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -84,3 +84,35 @@
 	}
 	g.Expect(Sample(random, []int{1}, 5)).To(HaveLen(1))
 }
+
+// Guards against questions that all go to other data centres, and against targets
+// there that are never asked.
+func TestMostQuestionsAreLocal(t *testing.T) {
+	for name, c := range map[string]struct{ near, far, drawn, local int }{
+		"both":      {10, 10, 5, 3},
+		"few near":  {1, 10, 5, 1},
+		"few far":   {10, 1, 5, 4},
+		"none near": {0, 10, 5, 0},
+		"few":       {1, 1, 2, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			all := []int{}
+			for i := range c.near {
+				all = append(all, i)
+			}
+			for i := range c.far {
+				all = append(all, 100+i)
+			}
+			drawn := SampleNear(rand.New(rand.NewPCG(1, 2)), all, 5, func(i int) bool { return i < 100 })
+			local := 0
+			for _, i := range drawn {
+				if i < 100 {
+					local++
+				}
+			}
+			g.Expect(drawn).To(HaveLen(c.drawn))
+			g.Expect(local).To(Equal(c.local))
+		})
+	}
+}
