--- a/pkg/canary/outcomes.go
+++ b/pkg/canary/outcomes.go
@@ -72,7 +72,7 @@
 		row.Failures++
 		return
 	}
-	if !try.Cold && try.Latency > 0 {
+	if !try.Load.Cold && try.Latency > 0 {
 		row.Latencies[bucketOf(try.Latency)]++
 	}
 }
--- a/pkg/canary/outcomes_test.go
+++ b/pkg/canary/outcomes_test.go
@@ -21,7 +21,7 @@
 	o.Ended(ended(
 		forward.Try{Order: 7, Canary: true, NotRun: true, Failed: true},
 		forward.Try{Order: 7, Canary: true, Failed: true},
-		forward.Try{Order: 7, Canary: true, Cold: true, Latency: time.Second},
+		forward.Try{Order: 7, Canary: true, Load: forward.Load{Cold: true}, Latency: time.Second},
 		forward.Try{Order: 7, Latency: 220 * time.Millisecond},
 		forward.Try{Latency: time.Second},
 	))
--- a/pkg/edge/journal.go
+++ b/pkg/edge/journal.go
@@ -72,7 +72,29 @@
 	line.Str("request", r.ID).Str("route", r.Route).Str("service", r.Service).Uint64("configuration", r.Version).
 		Int("status", r.Status).Str("outcome", r.Outcome).Str("reason", r.Reason).
 		Dur("took", now.Sub(r.Began)).Int64("bytes", r.Bytes).
-		Array("tries", tries(r.Tries)).Msg("request")
+		Array("tries", tries(r.Tries))
+	if r.Outcome == forward.OutcomeNotRun && len(r.Considered) > 0 {
+		line.Array("considered", loads(r.Considered))
+	}
+	line.Msg("request")
+}
+
+// loads writes the loads of targets.
+type loads []forward.Load
+
+// MarshalZerologArray implements zerolog.LogArrayMarshaler.
+func (l loads) MarshalZerologArray(array *zerolog.Array) {
+	for i := range l {
+		array.Object((*load)(&l[i]))
+	}
+}
+
+type load forward.Load
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (l *load) MarshalZerologObject(e *zerolog.Event) {
+	e.Str("target", l.Target).Int("running", l.Running).Int("waiting", l.Waiting).Int("slots", l.Slots).
+		Float64("slowness", l.Slowness).Bool("cold", l.Cold).Bool("healthy", l.Healthy)
 }
 
 // tries writes the tries of a request.
@@ -89,14 +111,12 @@
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (t *try) MarshalZerologObject(e *zerolog.Event) {
-	e.Str("target", t.Target).Str("version", t.Version).Int("asked", t.Asked).Int("heard", t.Heard).
+	(*load)(&t.Load).MarshalZerologObject(e)
+	e.Str("version", t.Version).Int("asked", t.Asked).Int("heard", t.Heard).
 		Float64("cost", t.Cost).Dur("age", t.Age).Int("status", t.Status).Dur("latency", t.Latency)
 	if t.Canary {
 		e.Bool("canary", true)
 	}
-	if t.Cold {
-		e.Bool("cold", true)
-	}
 	if t.Failure != "" {
 		e.Str("failure", t.Failure).Bool("notRun", t.NotRun)
 	}
--- a/pkg/edge/process.go
+++ b/pkg/edge/process.go
@@ -37,6 +37,9 @@
 	maxHeaderBytes    = 64 << 10
 	// memoryShare is the part of the memory limit from which on garbage is collected harder.
 	memoryShare = 0.6
+	// gcPercent is how much the heap may grow between collections. The live heap of a
+	// node is a few MB, so a collection costs little and memory is scarcer.
+	gcPercent = 50
 )
 
 // Options are the parts that the platform's adapter provides.
@@ -69,6 +72,7 @@
 	if options.Settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(options.Settings.MemoryBytes) * memoryShare))
 	}
+	debug.SetGCPercent(gcPercent)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	p, err := New(options)
--- a/pkg/forward/place.go
+++ b/pkg/forward/place.go
@@ -38,6 +38,15 @@
 	at        time.Time
 }
 
+// load returns the answer for the record of the request.
+func (h *heard) load() Load {
+	c := &h.candidate
+	return Load{
+		Target: h.target.ID, Running: c.Running, Waiting: c.Waiting, Slots: c.Slots, Slowness: c.Slowness,
+		Cold: c.Cold, Healthy: h.healthy,
+	}
+}
+
 // choice is a target that was chosen for a send.
 type choice struct {
 	heard
@@ -63,10 +72,15 @@
 		chosen, why := c.choose(answers)
 		if chosen != nil {
 			chosen.canary, chosen.asked, chosen.answered = canary, len(asked), len(answers)
+			c.record.Considered = nil
 			return chosen, ""
 		}
 		reason = why
 		c.widened = true
+		c.record.Considered = c.record.Considered[:0]
+		for i := range answers {
+			c.record.Considered = append(c.record.Considered, answers[i].load())
+		}
 	}
 	return nil, reason
 }
--- a/pkg/forward/record.go
+++ b/pkg/forward/record.go
@@ -44,6 +44,19 @@
 	Tries   []Try
 	// Bytes is the size of the answer's body.
 	Bytes int64
+	// Considered are the targets that were heard before a refusal, none of which could
+	// take the request.
+	Considered []Load
+}
+
+// Load is what a target told of itself.
+type Load struct {
+	Target                  string
+	Running, Waiting, Slots int
+	// Slowness is how long work takes there, 1 as usual.
+	Slowness float64
+	Cold     bool
+	Healthy  bool
 }
 
 // Try is one send of a request.
@@ -53,11 +66,11 @@
 	// Canary tells that the version is being rolled out, Order which rollout it is.
 	Canary bool
 	Order  uint64
-	// Cold tells that the target was cold.
-	Cold bool
+	// Load is the load on which the target was chosen.
+	Load Load
 	// Asked and Heard count the targets that were asked for their load and that answered.
 	Asked, Heard int
-	// Cost is the estimate on which the target was chosen; Age how old its load was.
+	// Cost is the estimate made of it; Age is how old the load was.
 	Cost    float64
 	Age     time.Duration
 	Status  int
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -52,7 +52,7 @@
 	out := c.outgoing(ctx, target)
 	r := &result{target: target, cancel: cancel, sent: time.Now(), try: Try{
 		Target: target.ID, Version: target.Version, Canary: chosen.canary, Order: c.service.Order,
-		Cold: chosen.candidate.Cold, Asked: chosen.asked, Heard: chosen.answered, Cost: chosen.cost,
+		Load: chosen.load(), Asked: chosen.asked, Heard: chosen.answered, Cost: chosen.cost,
 		Age: time.Since(chosen.at),
 	}}
 	target.Observed.Begin()
