--- a/pkg/membership/main_test.go
+++ b/pkg/membership/main_test.go
@@ -1,17 +1,11 @@
 package membership
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/fireflychute/fireflychute/internal/modeltest"
 )
 
-// TestMain fixes the seed of the model tests, so that each run gives the same
-// verdict. The flag -rapid.seed overrides it.
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.nofailfile", "true")
-	_ = flag.Set("rapid.checks", "100")
-	_ = flag.Set("rapid.shrinktime", "5s")
-	os.Exit(m.Run())
+	modeltest.Main(m, modeltest.Options{Seed: 20261204, Checks: 100, ShrinkTime: "5s"})
 }
--- a/pkg/proxy/admit.go
+++ b/pkg/proxy/admit.go
@@ -53,7 +53,7 @@
 		return false
 	}
 	if view == c.view && c.version != nil {
-		return shareOf(c.version) > 0
+		return c.version.Share > 0
 	}
 	route := view.Match(c.request.Method, c.request.URL.Path)
 	if route == nil || route.Service == nil || route.Service.Name != c.route.Service.Name || route.WorkName != c.route.WorkName {
--- a/pkg/proxy/handler_test.go
+++ b/pkg/proxy/handler_test.go
@@ -458,8 +458,7 @@
 func TestBlockedVersionGetsNothing(t *testing.T) {
 	g := NewWithT(t)
 	b := newBench(t, api.WorkKindSpec{}, func(http.ResponseWriter, *http.Request) {})
-	b.version.Blocked = &atomic.Bool{}
-	b.version.Blocked.Store(true)
+	b.version.Share = 0 // as the control goroutine publishes a blocked version
 	answer := httptest.NewRecorder()
 	b.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/", strings.NewReader("")))
 	g.Expect(answer.Code).To(Equal(http.StatusServiceUnavailable))
--- a/pkg/proxy/pick.go
+++ b/pkg/proxy/pick.go
@@ -14,17 +14,17 @@
 // version without targets. A version under trial must not exceed its share.
 const mainShare = 0.5
 
-// pickVersion draws a version by share. Blocked versions get nothing.
+// pickVersion draws a version by share. Blocked versions have no share.
 func pickVersion(service *snapshot.Service, random *rand.Rand) *snapshot.Version {
 	total := 0.0
 	for i := range service.Versions {
-		total += shareOf(&service.Versions[i])
+		total += service.Versions[i].Share
 	}
 	left := random.Float64() * total
 	var picked *snapshot.Version
 	for i := range service.Versions {
 		version := &service.Versions[i]
-		share := shareOf(version)
+		share := version.Share
 		if share <= 0 {
 			continue
 		}
@@ -43,20 +43,13 @@
 func mainVersion(service *snapshot.Service) *snapshot.Version {
 	for i := range service.Versions {
 		version := &service.Versions[i]
-		if shareOf(version) >= mainShare && hasUnits(version) {
+		if version.Share >= mainShare && hasUnits(version) {
 			return version
 		}
 	}
 	return nil
 }
 
-func shareOf(version *snapshot.Version) float64 {
-	if version.Blocked != nil && version.Blocked.Load() {
-		return 0
-	}
-	return version.Share
-}
-
 func hasUnits(version *snapshot.Version) bool {
 	return slices.ContainsFunc(version.Targets, func(t *snapshot.Target) bool {
 		return t.Units > 0 && !t.Counters.Leaving.Load()
--- a/pkg/share/main_test.go
+++ b/pkg/share/main_test.go
@@ -1,15 +1,9 @@
 package share
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/fireflychute/fireflychute/internal/modeltest"
 )
 
-// TestMain fixes the seed of the model tests, so that each run gives the same
-// verdict. The flag -rapid.seed overrides it.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { modeltest.Main(m, modeltest.Options{Seed: 20261204}) }
--- a/pkg/snapshot/snapshot.go
+++ b/pkg/snapshot/snapshot.go
@@ -4,7 +4,6 @@
 	"net/netip"
 	"sort"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
@@ -53,8 +52,6 @@
 	Name    string
 	Share   float64
 	Targets []*Target
-	// Blocked stops new work at once; nil means never blocked.
-	Blocked *atomic.Bool
 	// Relays are the nodes that may take over calls of the version: those that have
 	// units of its targets when this node has none, else all that respond.
 	Relays []*Target
