--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MODULES := ./... ./testbed/...
 TOOL := go tool -modfile=$(CURDIR)/tools/go.mod
 
-.PHONY: build demo bench bench-rollouts bench-latency test race format lint generate generated faults faults-page capacity
+.PHONY: build soak demo bench bench-rollouts bench-latency test race format lint generate generated faults faults-page capacity
 
 build:
 	go build -o bin/ ./cmd/... ./testbed/cmd/...
@@ -36,6 +36,14 @@
 faults: build
 	FAULTS_BIN=$(CURDIR)/bin go test -count=1 -timeout 5m -v ./testbed/processes
 
+# Random faults, by seed, over real nodes of the users' platform with stand-ins of its store and instances.
+SEED ?= 1
+SEEDS ?= 3
+SECONDS ?= 8
+PARALLEL ?= 2
+soak: build
+	bin/soak --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) --parallel $(PARALLEL)
+
 # Renders docs/FAULTS.md from a run of all tests; a failed test leaves its cells red.
 faults-page: build
 	@records=$$(mktemp) && trap 'rm -f "$$records"' EXIT && verdict=0; \
@@ -43,10 +51,10 @@
 	go run ./testbed/cmd/faultspage --records "$$records" --output docs/FAULTS.md && exit $$verdict
 
 format:
-	GOWORK=off $(TOOL) gofumpt -w cmd internal pkg testbed
+	GOWORK=off $(TOOL) gofumpt -w cmd internal pkg platform testbed
 
 lint:
-	@unformatted=$$(GOWORK=off $(TOOL) gofumpt -l cmd internal pkg testbed); \
+	@unformatted=$$(GOWORK=off $(TOOL) gofumpt -l cmd internal pkg platform testbed); \
 	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
 	go vet $(MODULES)
 	staticcheck=$$(GOWORK=off $(TOOL) -n staticcheck) && $$staticcheck -checks all,-ST1005,-ST1016 $(MODULES)
--- a/testbed/soak/callers.go
+++ b/testbed/soak/callers.go
@@ -17,8 +17,6 @@
 	// configurationBound is config-apply-s with max-skew-s, since the paths to the
 	// store are disturbed.
 	configurationBound = 7 * time.Second
-	// leavingBound is drain-s with max-skew-s.
-	leavingBound = 7 * time.Second
 	// touchTime is how long a node must have been calm to be held to a bound.
 	touchTime = 3 * time.Second
 	// answerSlack is how much later than its timeout a request may be answered.
--- a/testbed/soak/soak.go
+++ b/testbed/soak/soak.go
@@ -48,8 +48,8 @@
 	faults  []string
 	began   time.Time
 	pending sync.WaitGroup
-	// leaving is when instances said that they leave.
-	leaving map[int]time.Time
+	// leaving are the instances that said that they leave.
+	leaving map[int]bool
 }
 
 // Run plays one seed.
@@ -63,7 +63,7 @@
 		return Result{}, err
 	}
 	defer w.stop()
-	s := &soak{options: options, world: w, callers: newCallers(w), random: rand.New(rand.NewPCG(options.Seed, 1)), leaving: map[int]time.Time{}}
+	s := &soak{options: options, world: w, callers: newCallers(w), random: rand.New(rand.NewPCG(options.Seed, 1)), leaving: map[int]bool{}}
 	for _, n := range w.nodes {
 		err = w.start(n)
 		if err != nil {
@@ -111,6 +111,7 @@
 	}
 	s.pending.Wait()
 	s.recover()
+	s.checkLeaving()
 	cancel()
 	running.Wait()
 	s.callers.checkRuns()
@@ -124,7 +125,7 @@
 func (s *soak) inject() {
 	n := s.world.nodes[s.random.IntN(nodeCount)]
 	long := 300*time.Millisecond + time.Duration(s.random.Int64N(int64(3*time.Second)))
-	switch s.random.IntN(10) {
+	switch s.random.IntN(11) {
 	case 0:
 		s.restart(n, syscall.SIGTERM, graceTime)
 	case 1:
@@ -146,6 +147,51 @@
 	case 9:
 		s.note("store forgets its history")
 		s.world.store.Compact()
+	case 10:
+		s.leave()
+	}
+}
+
+// maxLeaving is how many instances may leave; the others bear the load.
+const maxLeaving = 2
+
+// leave makes an instance say that it leaves, or removes its entry without a word.
+func (s *soak) leave() {
+	i := s.random.IntN(maxLeaving)
+	if s.leaving[i] {
+		return
+	}
+	s.leaving[i] = true
+	left := s.world.instances[i]
+	if s.random.IntN(2) == 0 {
+		s.note("%s says that it leaves", left.ID())
+		s.world.register(left, "draining")
+		return
+	}
+	s.note("entry of %s is removed", left.ID())
+	s.world.store.Remove("servers", left.ID())
+}
+
+// settleTime is how long the leaving of an instance may take after all faults ended:
+// entries that may have lapsed with the store are kept for some seconds.
+const settleTime = 7 * time.Second
+
+// checkLeaving checks that instances that left receive nothing once all nodes follow.
+func (s *soak) checkLeaving() {
+	if len(s.leaving) == 0 {
+		return
+	}
+	time.Sleep(settleTime)
+	before := map[int]int{}
+	for i := range s.leaving {
+		before[i] = len(s.world.instances[i].Runs())
+	}
+	time.Sleep(time.Second)
+	for i := range s.leaving {
+		more := len(s.world.instances[i].Runs()) - before[i]
+		if more > 0 {
+			s.callers.fail("%s left and still got %d requests in a second", s.world.instances[i].ID(), more)
+		}
 	}
 }
 
@@ -213,8 +259,12 @@
 
 func (s *soak) storeFault(long time.Duration) {
 	faults := []metastore.Faults{
-		{Status: http.StatusServiceUnavailable}, {Status: http.StatusTooManyRequests}, {Silent: true},
-		{Delay: 300 * time.Millisecond}, {LoseWrites: true}, {Deaf: true},
+		{Status: http.StatusServiceUnavailable},
+		{Status: http.StatusTooManyRequests},
+		{Silent: true},
+		{Delay: 300 * time.Millisecond},
+		{LoseWrites: true},
+		{Deaf: true},
 	}
 	drawn := s.random.IntN(len(faults))
 	s.note("store: fault %d for %v", drawn, long)
@@ -231,8 +281,16 @@
 func (s *soak) instanceFault(long time.Duration) {
 	i := s.world.instances[s.random.IntN(instanceCount-1)] // the last one stays sound
 	faults := []instance.Faults{
-		{Cut: true}, {Short: true}, {Foreign: true}, {Unsealed: true}, {Hang: true}, {Refuse: true}, {Ill: true}, {Mute: true},
-		{Status: http.StatusServiceUnavailable}, {Status: http.StatusInternalServerError},
+		{Cut: true},
+		{Short: true},
+		{Foreign: true},
+		{Unsealed: true},
+		{Hang: true},
+		{Refuse: true},
+		{Ill: true},
+		{Mute: true},
+		{Status: http.StatusServiceUnavailable},
+		{Status: http.StatusInternalServerError},
 	}
 	drawn := s.random.IntN(len(faults))
 	s.note("%s: fault %d for %v", i.ID(), drawn, long)
