Ask the store less while it is away; give each test node a loopback IP of its own

Ruled out: asking only at the watchers (nodes cut off from these would never learn). Before: 1.5 s between calls of each node; lost sources that had only lost the store were asked again after up to 8 s. After: 40 ms per node of the fleet, 0.7 s for such sources. Seen once, output not kept: in go test ./testbed/edge -run 'Store|Peers|Restart|Lost' one node did not listen within 10 s; the same command passed twice after. A port taken by an outgoing connection is a possible cause that is now excluded; it was not shown.

--- a/pkg/edge/sync.go
+++ b/pkg/edge/sync.go
@@ -28,6 +28,7 @@
 		plan.Upstreams = append(plan.Upstreams, c.seedNodes()...)
 	}
 	c.rollouts.leading = plan.Lead
+	c.watch.ranked = plan.Ranked
 	switch {
 	case plan.Watch && c.watch.cancel == nil:
 		c.log.Info().Bool("alone", alone).Msg("node watches the store")
@@ -134,7 +135,7 @@
 	age := time.Duration(answer.StaleMs) * time.Millisecond
 	switch {
 	case age > staleTime:
-		c.sources[node.Name] = state.Lost(now)
+		c.sources[node.Name] = state.Stale(now)
 		c.watch.troubleAt = now
 	case state.IsLost():
 		c.log.Info().Str("peer", node.Name).Dur("age", age).Msg("followed node regained")
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -23,6 +23,9 @@
 	// Bounds of the pause after a failed call.
 	minBackoff = 300 * time.Millisecond
 	maxBackoff = 1500 * time.Millisecond
+	// fleetBackoff is the pause per node of the fleet that a node takes which is not
+	// among the watchers: an outage of the store must not make all nodes ask all the time.
+	fleetBackoff = 40 * time.Millisecond
 	// lapseMemory is how long after trouble with the store a missing entry counts as
 	// lapsed, not as removed.
 	lapseMemory = 3500 * time.Millisecond
@@ -33,7 +36,9 @@
 	cancel context.CancelFunc
 	// failing tells that the last call to the store failed. troubleAt is when a call
 	// failed last, of this node or of one that it follows.
-	failing   bool
+	failing bool
+	// ranked tells that the node is one of the watchers.
+	ranked    bool
 	troubleAt time.Time
 	// relist tells which kinds have to be read as a whole.
 	relist map[replica.Kind]bool
@@ -65,7 +70,7 @@
 		switch {
 		case err != nil:
 			pause(ctx, backoff/2+rand.N(backoff))
-			backoff = min(2*backoff, maxBackoff)
+			backoff = min(2*backoff, c.longestBackoff(ctx))
 		case changed:
 			backoff = minBackoff
 			pause(ctx, gatherTime)
@@ -83,6 +88,17 @@
 	return allowed
 }
 
+// longestBackoff is the longest pause of the node after failed calls.
+func (c *controller) longestBackoff(ctx context.Context) time.Duration {
+	longest := maxBackoff
+	c.do(ctx, func() {
+		if !c.watch.ranked {
+			longest = max(longest, time.Duration(len(c.view.nodes))*fleetBackoff)
+		}
+	})
+	return longest
+}
+
 // step makes one call for a kind.
 func (c *controller) step(ctx context.Context, kind replica.Kind) (changed bool, err error) {
 	var known bool
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -18,10 +18,12 @@
 // Watchers is how many nodes watch the store while all is well.
 const Watchers = 2
 
-// Bounds of the pause before a lost node is tried again.
+// Bounds of the pause before a lost node is tried again, and the pause for one that
+// answers but has lost the store: asking it costs the store nothing.
 const (
 	firstPause = time.Second
 	maxPause   = 8 * time.Second
+	stalePause = 700 * time.Millisecond
 )
 
 // State is what a node knows of another one as a source of changes. The zero value
@@ -32,14 +34,20 @@
 	retryAt time.Time
 }
 
-// Lost returns the state after a fetch failed, or showed that the node has no
-// recent contact with the store. A lost node counts as a source again only after a
-// fetch that works, so that its place among the watchers is filled meanwhile.
+// Lost returns the state after a fetch failed. A lost node counts as a source again
+// only after a fetch that works, so that its place among the watchers is filled
+// meanwhile.
 func (s State) Lost(now time.Time) State {
 	pause := min(firstPause<<min(s.misses, 6), maxPause)
 	return State{lost: true, misses: s.misses + 1, retryAt: now.Add(pause)}
 }
 
+// Stale returns the state after a fetch showed that the node has no recent contact
+// with the store.
+func (s State) Stale(now time.Time) State {
+	return State{lost: true, retryAt: now.Add(stalePause)}
+}
+
 // IsLost tells whether the node is no source at present.
 func (s State) IsLost() bool { return s.lost }
 
@@ -47,6 +55,8 @@
 type Plan struct {
 	// Watch tells whether the node watches the store.
 	Watch bool
+	// Ranked tells that the node is among the first that work, so it asks for all.
+	Ranked bool
 	// Lead tells whether the node leads the rollouts.
 	Lead bool
 	// Upstreams are the nodes to follow, lost ones that are tried again included.
@@ -94,7 +104,7 @@
 			break
 		}
 		if node.Name == self {
-			plan.Watch = true
+			plan.Watch, plan.Ranked = true, true
 			if !storeLost {
 				plan.Lead = usable == 0
 				usable++
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -126,3 +126,15 @@
 	}
 	g.Expect(pauses).To(Equal([]time.Duration{firstPause, 2 * firstPause, 4 * firstPause, maxPause, maxPause, maxPause}))
 }
+
+// Guards against a fleet that learns late that the store is back because its nodes
+// wait long before they ask a watcher again that had lost it.
+func TestStaleNodesAreAskedAgainSoon(t *testing.T) {
+	g := NewWithT(t)
+	state := State{}
+	for range 6 {
+		state = state.Stale(now)
+	}
+	g.Expect(state.IsLost()).To(BeTrue())
+	g.Expect(state.retryAt.Sub(now)).To(Equal(stalePause))
+}
--- a/testbed/edge/world_test.go
+++ b/testbed/edge/world_test.go
@@ -71,8 +71,14 @@
 	return w
 }
 
+// addresses counts the loopback addresses that were handed out.
+var addresses atomic.Int64
+
+// freeAddress returns an address on a loopback IP of its own: on a shared one, a port
+// that was free may be taken by an outgoing connection before the node listens.
 func freeAddress(g *WithT) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	number := addresses.Add(1)
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.9.%d.%d:0", number/200, number%200+1))
 	g.Expect(err).NotTo(HaveOccurred())
 	defer listener.Close()
 	return listener.Addr().String()
@@ -153,6 +159,9 @@
 	}
 	select {
 	case err := <-n.ended:
+		if err != nil {
+			w.t.Errorf("node %s ended: %v", n.name, err)
+		}
 		n.ended <- err
 	case <-time.After(10 * time.Second):
 		w.t.Errorf("node %s did not end", n.name)
--- a/testbed/soak/world.go
+++ b/testbed/soak/world.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -78,6 +79,16 @@
 	return w, nil
 }
 
+// loopbacks counts the loopback IPs that were handed out.
+var loopbacks atomic.Int64
+
+// ownLoopback returns any port on a loopback IP that nothing else uses, so that no
+// outgoing connection takes the port before the node listens on it again.
+func ownLoopback() string {
+	number := loopbacks.Add(1)
+	return fmt.Sprintf("127.8.%d.%d:0", number/200, number%200+1)
+}
+
 func (w *world) newNode(i int) (*node, error) {
 	path, err := NewProxy(w.storeAt)
 	if err != nil {
@@ -85,7 +96,7 @@
 	}
 	n := &node{name: fmt.Sprintf("n%d", i), path: path}
 	for _, address := range []*string{&n.front, &n.ready, &n.control} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", ownLoopback())
 		if err != nil {
 			return nil, err
 		}
