Split the control goroutine's files, remove what no path uses

Cause: read as a newcomer: controller.go and rollouts.go held several jobs each; placement had a pace and pending requests, and the settings had bounds, that nothing set or read; reports of restarted nodes were kept under made-up names. Ruled out: using the pace now; it would need its own measurement. Before and after: no change of behaviour; tests pass.

--- /dev/null
+++ b/pkg/edge/lead.go
@@ -0,0 +1,124 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/canary"
+	"github.com/fireflychute/fireflychute/pkg/catalog"
+	"github.com/fireflychute/fireflychute/pkg/replica"
+	"github.com/fireflychute/fireflychute/pkg/topology"
+)
+
+// shareGrain is the least change of a share that is written.
+const shareGrain = 0.01
+
+// decide writes the next step of a rollout, and its status.
+func (c *controller) decide(ctx context.Context, now time.Time, t *tracked, order topology.Order) {
+	progress := canary.Progress{
+		Elapsed: t.elapsed(now), Duration: order.Duration, Share: t.share, Held: now.Sub(t.since),
+		Requests: int(t.total), Rate: t.rate, Bad: t.bad, Present: c.hasTargets(order),
+	}
+	for key, row := range t.last {
+		if key.Canary {
+			progress.Exposed += int(row.Requests)
+		}
+	}
+	bounds := canary.Bounds{Share: c.options.Settings.CanaryShare, Slack: c.options.Settings.CanarySlack}
+	decision := canary.Decide(progress, bounds)
+	switch {
+	case decision.RollBack:
+		c.writeStep(ctx, now, t, order, 0, true)
+		c.writeStatus(ctx, now, t, order, catalog.RolloutRolledBack)
+	case decision.Complete:
+		c.writeStatus(ctx, now, t, order, catalog.RolloutComplete)
+	default:
+		c.writeStep(ctx, now, t, order, decision.Share, false)
+		if order.State == catalog.RolloutNew {
+			c.writeStatus(ctx, now, t, order, catalog.RolloutInProgress)
+		}
+	}
+}
+
+func (c *controller) hasTargets(order topology.Order) bool {
+	for _, known := range c.view.targets {
+		if known.err == nil && known.target.Service == order.Service && known.target.Version == order.Version && !known.target.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// writeStep writes the share of a version if it differs from the one in force.
+func (c *controller) writeStep(ctx context.Context, now time.Time, t *tracked, order topology.Order, share float64, failed bool) {
+	current, exists := c.view.steps[order.Service]
+	same := exists && current.Order == order.ID && current.Version == order.Version
+	if same && current.Failed == failed && abs(current.Share-share) < shareGrain || t.write.busy || now.Before(t.write.next) {
+		return
+	}
+	step := catalog.Step{
+		Service: order.Service, Version: order.Version, Base: c.baseOf(order, current, exists), Order: order.ID,
+		Share: share, Elapsed: t.elapsed(now), Failed: failed,
+	}
+	spec, err := c.options.Codec.EncodeStep(step)
+	if err != nil {
+		c.log.Error().Err(err).Msg("step cannot be encoded")
+		return
+	}
+	object, stored := c.replica.Object(replica.Steps, order.Service)
+	c.log.Info().Str("service", order.Service).Str("version", order.Version).Float64("share", share).Bool("failed", failed).
+		Dur("elapsed", step.Elapsed).Uint64("requests", t.total).Float64("rate", t.rate).Msg("rollout step")
+	c.write(ctx, &t.write, replica.Steps, func(ctx context.Context) (replica.Object, error) {
+		if stored {
+			return c.options.Store.Replace(ctx, replica.Steps, order.Service, object.Revision, spec)
+		}
+		return c.options.Store.Create(ctx, replica.Steps, order.Service, spec)
+	})
+}
+
+func abs(value float64) float64 { return max(value, -value) }
+
+// baseOf returns the version that a rollout replaces: the one that the last step
+// left in use, or the one that most targets have.
+func (c *controller) baseOf(order topology.Order, last catalog.Step, exists bool) string {
+	if exists && last.Base != "" && last.Base != order.Version {
+		if last.Order == order.ID || last.Share < 1 || last.Failed {
+			return last.Base
+		}
+		return last.Version
+	}
+	counts := map[string]int{}
+	best := ""
+	for _, known := range c.view.targets {
+		if known.err != nil || known.target.Service != order.Service || known.target.Version == order.Version {
+			continue
+		}
+		version := known.target.Version
+		counts[version]++
+		if best == "" || counts[version] > counts[best] || counts[version] == counts[best] && version < best {
+			best = version
+		}
+	}
+	return best
+}
+
+// writeStatus writes the state of a rollout, conditional on the order that was read.
+func (c *controller) writeStatus(ctx context.Context, now time.Time, t *tracked, order topology.Order, state catalog.RolloutState) {
+	if t.status.busy || now.Before(t.status.next) {
+		return
+	}
+	object, found := c.replica.Object(replica.Rollouts, order.Name)
+	if !found {
+		return
+	}
+	status, err := c.options.Codec.EncodeRolloutStatus(order.Version, state)
+	if err != nil {
+		c.log.Error().Err(err).Msg("status cannot be encoded")
+		return
+	}
+	c.log.Info().Str("service", order.Service).Str("version", order.Version).RawJSON("status", status).
+		Dur("elapsed", t.elapsed(now)).Msg("rollout status")
+	c.write(ctx, &t.status, replica.Rollouts, func(ctx context.Context) (replica.Object, error) {
+		return c.options.Store.ReplaceStatus(ctx, replica.Rollouts, order.Name, object.Revision, status)
+	})
+}
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -12,25 +12,22 @@
 	"github.com/fireflychute/fireflychute/pkg/topology"
 )
 
-const (
-	// judgeTime is the period over which the two versions are compared.
-	judgeTime = time.Second
-	// shareGrain is the least change of a share that is written.
-	shareGrain = 0.01
-)
+// judgeTime is the period over which the two versions are compared.
+const judgeTime = time.Second
 
 // rolloutState is what the node knows of rollouts beside the replica.
 type rolloutState struct {
 	leading bool
-	// reports are the latest counts of each node.
-	reports map[string]nodeReport
+	// reports are the latest counts of each start of each node. Those of an earlier
+	// start still count.
+	reports map[reportKey]map[canary.Key]canary.Counts
 	// tracked are the rollouts in progress by order.
 	tracked map[uint64]*tracked
 }
 
-type nodeReport struct {
+type reportKey struct {
+	node        string
 	incarnation uint64
-	rows        map[canary.Key]canary.Counts
 }
 
 // tracked is one rollout in progress.
@@ -56,7 +53,7 @@
 }
 
 func newRolloutState() rolloutState {
-	return rolloutState{reports: map[string]nodeReport{}, tracked: map[uint64]*tracked{}}
+	return rolloutState{reports: map[reportKey]map[canary.Key]canary.Counts{}, tracked: map[uint64]*tracked{}}
 }
 
 // isOpen tells whether a rollout is still to be decided.
@@ -105,20 +102,14 @@
 	if len(fetch.Counts) == 0 {
 		return
 	}
-	report := nodeReport{incarnation: fetch.Incarnation, rows: map[canary.Key]canary.Counts{}}
+	rows := map[canary.Key]canary.Counts{}
 	for i := range fetch.Counts {
 		count := &fetch.Counts[i]
 		row := canary.Counts{Requests: count.Requests, Failures: count.Failures}
 		row.SetLatencies(count.Latencies)
-		report.rows[canary.Key{Service: count.Service, Order: count.Order, Route: count.Route, Canary: count.Canary}] = row
-	}
-	name := node
-	known, ok := c.rollouts.reports[name]
-	if ok && known.incarnation != report.incarnation {
-		// The counts of the earlier start still count.
-		c.rollouts.reports[name+"#"+time.Now().String()] = known
+		rows[canary.Key{Service: count.Service, Order: count.Order, Route: count.Route, Canary: count.Canary}] = row
 	}
-	c.rollouts.reports[name] = report
+	c.rollouts.reports[reportKey{node, fetch.Incarnation}] = rows
 }
 
 // lead follows all open rollouts and, on the leading node, decides on them.
@@ -219,8 +210,8 @@
 	t.judged = now
 	sums := map[canary.Key]canary.Counts{}
 	addRows(sums, order.ID, local)
-	for _, report := range c.rollouts.reports {
-		addRows(sums, order.ID, report.rows)
+	for _, rows := range c.rollouts.reports {
+		addRows(sums, order.ID, rows)
 	}
 	var total uint64
 	for key, row := range sums {
@@ -248,113 +239,3 @@
 		}
 	}
 }
-
-// decide writes the next step of a rollout, and its status.
-func (c *controller) decide(ctx context.Context, now time.Time, t *tracked, order topology.Order) {
-	progress := canary.Progress{
-		Elapsed: t.elapsed(now), Duration: order.Duration, Share: t.share, Held: now.Sub(t.since),
-		Requests: int(t.total), Rate: t.rate, Bad: t.bad, Present: c.hasTargets(order),
-	}
-	for key, row := range t.last {
-		if key.Canary {
-			progress.Exposed += int(row.Requests)
-		}
-	}
-	bounds := canary.Bounds{Share: c.options.Settings.CanaryShare, Slack: c.options.Settings.CanarySlack}
-	decision := canary.Decide(progress, bounds)
-	switch {
-	case decision.RollBack:
-		c.writeStep(ctx, now, t, order, 0, true)
-		c.writeStatus(ctx, now, t, order, catalog.RolloutRolledBack)
-	case decision.Complete:
-		c.writeStatus(ctx, now, t, order, catalog.RolloutComplete)
-	default:
-		c.writeStep(ctx, now, t, order, decision.Share, false)
-		if order.State == catalog.RolloutNew {
-			c.writeStatus(ctx, now, t, order, catalog.RolloutInProgress)
-		}
-	}
-}
-
-func (c *controller) hasTargets(order topology.Order) bool {
-	for _, known := range c.view.targets {
-		if known.err == nil && known.target.Service == order.Service && known.target.Version == order.Version && !known.target.Leaving {
-			return true
-		}
-	}
-	return false
-}
-
-// writeStep writes the share of a version if it differs from the one in force.
-func (c *controller) writeStep(ctx context.Context, now time.Time, t *tracked, order topology.Order, share float64, failed bool) {
-	current, exists := c.view.steps[order.Service]
-	same := exists && current.Order == order.ID && current.Version == order.Version
-	if same && current.Failed == failed && abs(current.Share-share) < shareGrain || t.write.busy || now.Before(t.write.next) {
-		return
-	}
-	step := catalog.Step{
-		Service: order.Service, Version: order.Version, Base: c.baseOf(order, current, exists), Order: order.ID,
-		Share: share, Elapsed: t.elapsed(now), Failed: failed,
-	}
-	spec, err := c.options.Codec.EncodeStep(step)
-	if err != nil {
-		c.log.Error().Err(err).Msg("step cannot be encoded")
-		return
-	}
-	object, stored := c.replica.Object(replica.Steps, order.Service)
-	c.log.Info().Str("service", order.Service).Str("version", order.Version).Float64("share", share).Bool("failed", failed).
-		Dur("elapsed", step.Elapsed).Uint64("requests", t.total).Float64("rate", t.rate).Msg("rollout step")
-	c.write(ctx, &t.write, replica.Steps, func(ctx context.Context) (replica.Object, error) {
-		if stored {
-			return c.options.Store.Replace(ctx, replica.Steps, order.Service, object.Revision, spec)
-		}
-		return c.options.Store.Create(ctx, replica.Steps, order.Service, spec)
-	})
-}
-
-func abs(value float64) float64 { return max(value, -value) }
-
-// baseOf returns the version that a rollout replaces: the one that the last step
-// left in use, or the one that most targets have.
-func (c *controller) baseOf(order topology.Order, last catalog.Step, exists bool) string {
-	if exists && last.Base != "" && last.Base != order.Version {
-		if last.Order == order.ID || last.Share < 1 || last.Failed {
-			return last.Base
-		}
-		return last.Version
-	}
-	counts := map[string]int{}
-	best := ""
-	for _, known := range c.view.targets {
-		if known.err != nil || known.target.Service != order.Service || known.target.Version == order.Version {
-			continue
-		}
-		version := known.target.Version
-		counts[version]++
-		if best == "" || counts[version] > counts[best] || counts[version] == counts[best] && version < best {
-			best = version
-		}
-	}
-	return best
-}
-
-// writeStatus writes the state of a rollout, conditional on the order that was read.
-func (c *controller) writeStatus(ctx context.Context, now time.Time, t *tracked, order topology.Order, state catalog.RolloutState) {
-	if t.status.busy || now.Before(t.status.next) {
-		return
-	}
-	object, found := c.replica.Object(replica.Rollouts, order.Name)
-	if !found {
-		return
-	}
-	status, err := c.options.Codec.EncodeRolloutStatus(order.Version, state)
-	if err != nil {
-		c.log.Error().Err(err).Msg("status cannot be encoded")
-		return
-	}
-	c.log.Info().Str("service", order.Service).Str("version", order.Version).RawJSON("status", status).
-		Dur("elapsed", t.elapsed(now)).Msg("rollout status")
-	c.write(ctx, &t.status, replica.Rollouts, func(ctx context.Context) (replica.Object, error) {
-		return c.options.Store.ReplaceStatus(ctx, replica.Rollouts, order.Name, object.Revision, status)
-	})
-}
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -11,9 +11,8 @@
 	Node       string
 	DataCentre string
 	// Regions has the region of each data centre.
-	Regions        map[string]string
-	MemoryBytes    int64
-	MaxDescriptors int
+	Regions     map[string]string
+	MemoryBytes int64
 	// Processor is the node's part of a core, LinkMbps the bandwidth of its link.
 	Processor    float64
 	LinkMbps     float64
@@ -40,13 +39,6 @@
 	// CanaryShare and CanarySlack bound the requests of a version that may be bad.
 	CanaryShare float64
 	CanarySlack float64
-	// ProbesPerSecond bounds the load questions to a target, over all nodes.
-	ProbesPerSecond float64
-	// WarmupFactor and WarmupSlack bound what a cold target may get beyond its rate.
-	WarmupFactor float64
-	WarmupSlack  float64
-	// ConfigurationTime is the time within which a configuration is to be in force.
-	ConfigurationTime time.Duration
 }
 
 // Check refuses settings with which the node cannot work.
--- /dev/null
+++ b/pkg/edge/view.go
@@ -0,0 +1,177 @@
+package edge
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fireflychute/fireflychute/pkg/catalog"
+	"github.com/fireflychute/fireflychute/pkg/follow"
+	"github.com/fireflychute/fireflychute/pkg/replica"
+	"github.com/fireflychute/fireflychute/pkg/topology"
+)
+
+// view is what was decoded of the replica.
+type view struct {
+	configuration *catalog.Configuration
+	revision      uint64
+	targets       map[string]decodedTarget
+	nodes         []catalog.Node
+	ranked        []catalog.Node
+	orders        map[string]topology.Order
+	steps         map[string]catalog.Step
+	evacuated     map[string]bool
+}
+
+// decodedTarget is a target with the revision of the object it was decoded from.
+type decodedTarget struct {
+	revision uint64
+	readAt   time.Time
+	target   catalog.Target
+	err      error
+}
+
+// decode brings the view up to the replica.
+func (c *controller) decode(now time.Time) {
+	c.decodeConfiguration()
+	c.decodeTargets(now)
+	c.decodeNodes()
+	c.decodeMoves()
+}
+
+// decodeConfiguration takes over the configuration. One that cannot be carried out
+// leaves the last good one in force.
+func (c *controller) decodeConfiguration() {
+	for _, object := range c.replica.Objects(replica.Configurations) {
+		if object.Revision <= c.view.revision {
+			continue
+		}
+		configuration, err := c.options.Codec.Configuration(object)
+		if err != nil {
+			c.log.Error().Err(err).Str("object", object.Name).Uint64("revision", object.Revision).Msg("configuration refused; the last good one stays in force")
+			c.view.revision = object.Revision
+			continue
+		}
+		c.view.configuration, c.view.revision = configuration, object.Revision
+		c.log.Info().Uint64("configuration", configuration.Version).Uint64("revision", object.Revision).
+			Int("routes", len(configuration.Routes)).Msg("configuration in force")
+	}
+}
+
+func (c *controller) decodeTargets(now time.Time) {
+	decoded := map[string]decodedTarget{}
+	for _, object := range c.replica.Objects(replica.Targets) {
+		known, ok := c.view.targets[object.Name]
+		if ok && known.revision == object.Revision {
+			decoded[object.Name] = known
+			continue
+		}
+		target, err := c.options.Codec.Target(object)
+		decoded[object.Name] = decodedTarget{object.Revision, now, target, err}
+		c.logTarget(object, known, target, err)
+	}
+	for name, gone := range c.view.targets {
+		if _, ok := decoded[name]; !ok && gone.err == nil {
+			c.log.Info().Str("target", name).Str("service", gone.target.Service).Msg("target gone")
+			c.client.Forget(gone.target.Address)
+		}
+	}
+	c.view.targets = decoded
+}
+
+func (c *controller) logTarget(object replica.Object, known decodedTarget, target catalog.Target, err error) {
+	switch {
+	case err != nil:
+		c.log.Warn().Err(err).Str("target", object.Name).Uint64("revision", object.Revision).Msg("entry of a target left out")
+	case known.revision == 0 || known.err != nil || known.target.Leaving != target.Leaving || known.target.Incarnation != target.Incarnation:
+		c.log.Info().Str("target", target.ID).Str("address", target.Address).Str("service", target.Service).
+			Str("version", target.Version).Bool("leaving", target.Leaving).Bool("lapsed", object.Lapsed).
+			Uint64("revision", object.Revision).Msg("target known")
+	}
+}
+
+func (c *controller) decodeNodes() {
+	c.view.nodes = c.view.nodes[:0]
+	for _, object := range c.replica.Objects(replica.Nodes) {
+		node, err := c.options.Codec.Node(object)
+		if err != nil {
+			c.log.Warn().Err(err).Str("node", object.Name).Msg("entry of a node left out")
+			continue
+		}
+		c.view.nodes = append(c.view.nodes, node)
+	}
+	c.view.ranked = follow.Rank(c.view.nodes)
+}
+
+func (c *controller) decodeMoves() {
+	c.view.orders, c.view.steps, c.view.evacuated = map[string]topology.Order{}, map[string]catalog.Step{}, map[string]bool{}
+	for _, object := range c.replica.Objects(replica.Rollouts) {
+		rollout, err := c.options.Codec.Rollout(object)
+		if err != nil {
+			c.log.Warn().Err(err).Str("rollout", object.Name).Msg("order of a rollout left out")
+			continue
+		}
+		c.view.orders[rollout.Service] = topology.Order{Rollout: rollout, Name: object.Name, ID: orderID(object, rollout.Version)}
+	}
+	for _, object := range c.replica.Objects(replica.Steps) {
+		step, err := c.options.Codec.Step(object)
+		if err != nil {
+			c.log.Warn().Err(err).Str("step", object.Name).Msg("step of a rollout left out")
+			continue
+		}
+		c.view.steps[step.Service] = step
+	}
+	for _, object := range c.replica.Objects(replica.Evacuations) {
+		c.view.evacuated[object.Name] = true
+	}
+}
+
+// isComplete tells whether every kind was read at least once.
+func (c *controller) isComplete() bool {
+	return !slices.ContainsFunc(replica.Kinds(), func(kind replica.Kind) bool { return !c.replica.Known(kind) })
+}
+
+// mayBegin tells whether a starting node may serve: its data are recent, or nobody
+// has any that are.
+func (c *controller) mayBegin(now time.Time) bool {
+	return now.Sub(c.heard) <= staleTime || now.Sub(c.started) > patienceTime
+}
+
+// orderIDBits keeps identities exact in JSON numbers.
+const orderIDBits = 48
+
+// orderID identifies an order. An operator may replace an order in the same object.
+func orderID(object replica.Object, version string) uint64 {
+	hash := xxhash.Sum64String(object.Name + "\x00" + version + "\x00" + strconv.FormatUint(object.Created, 10))
+	return hash>>(64-orderIDBits) | 1
+}
+
+// publish gives the view to traffic.
+func (c *controller) publish(now time.Time) {
+	if c.view.configuration == nil || !c.isComplete() || c.published.Load() == nil && !c.mayBegin(now) {
+		return
+	}
+	input := topology.Input{
+		Now: now, Configuration: c.view.configuration, Orders: c.view.orders, Evacuated: c.view.evacuated,
+		Steps: c.effectiveSteps(), Fleet: max(1, len(c.view.nodes)),
+	}
+	names := make([]string, 0, len(c.view.targets))
+	for name := range c.view.targets {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		if known := c.view.targets[name]; known.err == nil {
+			input.Targets = append(input.Targets, known.target)
+		}
+	}
+	if c.published.Load() == nil {
+		c.log.Info().Int("targets", len(input.Targets)).Int("fleet", input.Fleet).Msg("node ready")
+	}
+	c.published.Store(c.builder.Build(input))
+	c.status.published.Add(1)
+	c.status.revision.Store(int64(c.view.revision))
+	c.status.fleet.Store(int64(input.Fleet))
+}
--- a/pkg/forward/hedge.go
+++ b/pkg/forward/hedge.go
@@ -100,7 +100,7 @@
 // the budget allows it.
 func (c *call) placeHedge() *choice {
 	second, _ := c.place()
-	if second == nil || second.candidate.Running+second.candidate.Pending >= second.candidate.Slots {
+	if second == nil || second.candidate.Running >= second.candidate.Slots {
 		return nil
 	}
 	options := &c.handler.options
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -119,7 +119,7 @@
 		r.target.Observed.Abandon()
 	default:
 		r.try.Failed = true
-		r.target.Observed.End(now, true, 0)
+		r.target.Observed.End(now, true)
 	}
 }
 
@@ -133,13 +133,13 @@
 		}
 		// A target that refuses although it said that it has room is no better than one
 		// that fails.
-		r.target.Observed.End(time.Now(), true, 0)
+		r.target.Observed.End(time.Now(), true)
 	case ctx.Err() != nil:
 		r.try.Failed = errors.Is(ctx.Err(), context.DeadlineExceeded)
 		r.target.Observed.Abandon()
 	default:
 		r.try.Failed = true
-		r.target.Observed.End(time.Now(), true, 0)
+		r.target.Observed.End(time.Now(), true)
 	}
 }
 
@@ -209,7 +209,7 @@
 	failed := r.try.Status >= http.StatusInternalServerError
 	c.record.Tries[len(c.record.Tries)-1].Failed = failed
 	c.record.Outcome = OutcomeAnswered
-	r.target.Observed.End(time.Now(), failed, r.try.Latency)
+	r.target.Observed.End(time.Now(), failed)
 	if !failed {
 		c.handler.pace(c.route.Name).add(r.try.Latency)
 		c.state.pressure.Note(false)
@@ -223,7 +223,7 @@
 		r.target.Observed.Abandon()
 	} else {
 		c.record.Tries[len(c.record.Tries)-1].Failed = true
-		r.target.Observed.End(time.Now(), true, 0)
+		r.target.Observed.End(time.Now(), true)
 	}
 	panic(http.ErrAbortHandler)
 }
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -33,22 +33,18 @@
 	Running, Waiting, Slots int
 	// Slowness is how long work takes there now, 1 as usual.
 	Slowness float64
-	// Pending are requests of this node that the target has not counted yet.
-	Pending int
-	Cold    bool
+	Cold     bool
 	// Local targets are in the data centre of the node.
 	Local bool
 	// FailureRate is the part of this node's late requests that failed there.
 	FailureRate float64
-	// Pace is the latency there compared with the other targets', 1 as usual.
-	Pace float64
 }
 
 // Cost estimates how long a request takes at the candidate, 1 at an idle target.
 func Cost(c Candidate) float64 {
 	slots := max(1, c.Slots)
-	ahead := c.Running + c.Waiting + c.Pending
-	cost := c.Slowness * max(1, c.Pace)
+	ahead := c.Running + c.Waiting
+	cost := c.Slowness
 	if float64(ahead+1) > busyShare*float64(slots) {
 		cost *= busyFactor
 	}
@@ -67,7 +63,7 @@
 // HasRoom tells whether a candidate takes one more request within a limit of
 // requests that run or wait there.
 func HasRoom(c Candidate, limit int) bool {
-	return c.Running+c.Waiting+c.Pending+1 <= limit
+	return c.Running+c.Waiting+1 <= limit
 }
 
 // queueShare is how many requests per slot may wait at a target. It covers short
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -7,20 +7,18 @@
 	. "github.com/onsi/gomega"
 )
 
-func idle() Candidate { return Candidate{Slots: 6, Slowness: 1, Pace: 1, Local: true} }
+func idle() Candidate { return Candidate{Slots: 6, Slowness: 1, Local: true} }
 
 // Guards against a load pattern that makes a target slow being chosen over an idle,
 // ordinary one.
 func TestCostRisesWithEachSignOfLoad(t *testing.T) {
 	worse := map[string]func(c *Candidate){
-		"noisy neighbour":    func(c *Candidate) { c.Slowness = 5 },
-		"few free slots":     func(c *Candidate) { c.Running = 5 },
-		"queue":              func(c *Candidate) { c.Running, c.Waiting = 6, 3 },
-		"own requests":       func(c *Candidate) { c.Pending = 6 },
-		"cold":               func(c *Candidate) { c.Cold = true },
-		"fails fast":         func(c *Candidate) { c.FailureRate = 0.4 },
-		"slower than others": func(c *Candidate) { c.Pace = 4 },
-		"other data centre":  func(c *Candidate) { c.Local = false },
+		"noisy neighbour":   func(c *Candidate) { c.Slowness = 5 },
+		"few free slots":    func(c *Candidate) { c.Running = 5 },
+		"queue":             func(c *Candidate) { c.Running, c.Waiting = 6, 3 },
+		"cold":              func(c *Candidate) { c.Cold = true },
+		"fails fast":        func(c *Candidate) { c.FailureRate = 0.4 },
+		"other data centre": func(c *Candidate) { c.Local = false },
 	}
 	for name, change := range worse {
 		t.Run(name, func(t *testing.T) {
@@ -60,7 +58,7 @@
 // Guards against a target that is taken to have room by one request too many.
 func TestRoomCountsAllRequests(t *testing.T) {
 	g := NewWithT(t)
-	c := Candidate{Running: 2, Waiting: 1, Pending: 1, Slots: 6}
+	c := Candidate{Running: 2, Waiting: 2, Slots: 6}
 	g.Expect(HasRoom(c, 5)).To(BeTrue())
 	g.Expect(HasRoom(c, 4)).To(BeFalse())
 }
--- a/pkg/topology/observed.go
+++ b/pkg/topology/observed.go
@@ -16,9 +16,7 @@
 	failureWeight = 0.2
 	// failureHalfLife is the time in which a failure rate fades by half without requests.
 	failureHalfLife = 2 * time.Second
-	// paceWeight is the weight of the latest latency in the average.
-	paceWeight = 0.2
-	// learntColdTime is how long a target counts as cold after it said so itself.
+	// minColdTime is the remaining warm-up below which a target counts as warm.
 	minColdTime = 50 * time.Millisecond
 )
 
@@ -34,7 +32,6 @@
 	limiter   warmup.Limiter
 	failure   float64
 	failureAt time.Time
-	latency   float64 // seconds, average
 }
 
 // View is a consistent copy of what was observed.
@@ -44,8 +41,6 @@
 	Leaving     bool
 	Cold        bool
 	FailureRate float64
-	// Latency is the average latency in seconds, 0 when unknown.
-	Latency float64
 }
 
 // View returns what is known now.
@@ -54,7 +49,7 @@
 	defer o.mu.Unlock()
 	return View{
 		Pending: o.pending, Held: now.Before(o.heldUntil), Leaving: o.leaving,
-		Cold: now.Before(o.coldUntil), FailureRate: o.fadedFailure(now), Latency: o.latency,
+		Cold: now.Before(o.coldUntil), FailureRate: o.fadedFailure(now),
 	}
 }
 
@@ -65,8 +60,8 @@
 	o.pending++
 }
 
-// End counts the end of a request with its latency. A latency of 0 says nothing.
-func (o *Observed) End(now time.Time, failed bool, latency time.Duration) {
+// End counts the end of a request.
+func (o *Observed) End(now time.Time, failed bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.pending--
@@ -75,13 +70,6 @@
 		rate += failureWeight
 	}
 	o.failure, o.failureAt = rate, now
-	if failed || latency <= 0 {
-		return
-	}
-	if o.latency == 0 {
-		o.latency = latency.Seconds()
-	}
-	o.latency += paceWeight * (latency.Seconds() - o.latency)
 }
 
 // Abandon counts the end of a request that says nothing about the target.
--- a/pkg/topology/observed_test.go
+++ b/pkg/topology/observed_test.go
@@ -32,7 +32,7 @@
 	o := &Observed{}
 	for range 10 {
 		o.Begin()
-		o.End(start, true, 0)
+		o.End(start, true)
 	}
 	g.Expect(o.View(start).FailureRate).To(BeNumerically(">", 0.8))
 	g.Expect(o.View(start.Add(4 * failureHalfLife)).FailureRate).To(BeNumerically("<", 0.06))
--- a/testbed/soak/proxy.go
+++ b/testbed/soak/proxy.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -133,8 +132,7 @@
 			}
 		}
 		if err != nil {
-			_ = err == io.EOF // both ends of a connection end together
-			return
+			return // both ends of a connection end together
 		}
 	}
 }
--- a/testbed/soak/world.go
+++ b/testbed/soak/world.go
@@ -33,8 +33,8 @@
 	storeAt   string
 	nodes     []*node
 	instances []*instance.Instance
-	// changedAt is when the configuration in force was acknowledged.
-	mu      sync.Mutex
+	mu        sync.Mutex
+	// version is that of the configuration in the store.
 	version int
 }
 
