Condemn a version on the failures that made nodes stop using it

Cause: TestBadVersionIsRolledBack failed beside load: a version that failed every request was reported complete. Each node stops after three failures of its own, so too little evidence reached the test over time, and the leader went on to full share. Ruled out: letting blocked nodes send on for evidence (callers would pay). After: six failures over all nodes, or three with a single node, at 30% and more roll the version back at once; a test of the decision fails without it.

--- a/pkg/canary/decide.go
+++ b/pkg/canary/decide.go
@@ -125,6 +125,18 @@
 	localBaseRate    = 0.1
 )
 
+// fleetFailures is how many failures over all nodes condemn a version at once, where
+// there are nodes enough. Nodes that stopped on their own evidence send no more
+// requests from which the test over time could gather any.
+const fleetFailures = 2 * localFailures
+
+// BadEverywhere tells whether the counts of all nodes together condemn a version
+// without waiting for the test over time.
+func BadEverywhere(base, canary Counts, fleet int) bool {
+	needed := min(fleetFailures, localFailures*max(1, fleet))
+	return canary.Failures >= uint64(needed) && BadHere(base, canary)
+}
+
 // BadHere tells whether a node's own counts are enough to stop sending to the new
 // version. It holds when the leader or the store cannot be reached.
 func BadHere(base, canary Counts) bool {
--- a/pkg/canary/decide_test.go
+++ b/pkg/canary/decide_test.go
@@ -101,6 +101,17 @@
 	g.Expect(Decide(p, bounds).RollBack).To(BeTrue())
 }
 
+// Guards against a version that every node has stopped using on its own evidence
+// being given all requests, because no more evidence arrives for the test over time.
+func TestFailuresThatMadeNodesStopCondemnTheVersion(t *testing.T) {
+	g := NewWithT(t)
+	base := Counts{Requests: 100}
+	g.Expect(BadEverywhere(base, Counts{Requests: 9, Failures: 9}, 3)).To(BeTrue(), "three nodes stopped after three failures each")
+	g.Expect(BadEverywhere(base, Counts{Requests: 3, Failures: 3}, 1)).To(BeTrue(), "a single node")
+	g.Expect(BadEverywhere(base, Counts{Requests: 5, Failures: 5}, 3)).To(BeFalse(), "one unlucky target")
+	g.Expect(BadEverywhere(base, Counts{Requests: 100, Failures: 9}, 3)).To(BeFalse())
+}
+
 // Guards against a node that goes on sending to a failing version while the leader
 // is away, and against one unlucky request taking a version out.
 func TestNodeBlocksOnItsOwnEvidence(t *testing.T) {
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -214,6 +214,7 @@
 		addRows(sums, order.ID, rows)
 	}
 	var total uint64
+	condemned := t.blocked
 	for key, row := range sums {
 		total += row.Requests
 		if !key.Canary {
@@ -222,11 +223,12 @@
 		base := key
 		base.Canary = false
 		t.judge.Observe(key.Route, sums[base].Since(t.last[base]), row.Since(t.last[key]))
+		condemned = condemned || canary.BadEverywhere(sums[base], row, len(c.view.nodes))
 	}
 	t.rate = float64(total-min(total, t.total)) / period.Seconds()
 	t.total, t.last = total, sums
 	bad, evidence := t.judge.Verdict()
-	if bad && !t.bad {
+	if (bad || condemned) && !t.bad {
 		t.bad = true
 		c.log.Warn().Str("service", order.Service).Str("version", order.Version).Interface("evidence", evidence).Msg("version judged bad")
 	}
--- a/pkg/telemetry/internal/metricsdoc/main.go
+++ b/pkg/telemetry/internal/metricsdoc/main.go
@@ -43,7 +43,7 @@
 func page() string {
 	var text strings.Builder
 	text.WriteString(intro)
-	for _, m := range telemetry.Metrics {
+	for _, m := range telemetry.All() {
 		kind := strings.TrimPrefix(string(m.Type), "observed ")
 		fmt.Fprintf(&text, "| `%s` | %s | %s | %s |\n", m.PrometheusName(), kind, strings.Join(m.Labels, ", "), m.Meaning)
 	}
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -1,6 +1,9 @@
 package telemetry
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // Type is the type of a metric.
 type Type string
@@ -70,8 +73,12 @@
 	Watching         = "fireflychute.watching"
 )
 
-// Metrics is the table of all metrics, from which the instruments and the page
-// docs/metrics.md are made.
+// All returns all metrics, from which the instruments and the page docs/metrics.md are
+// made.
+func All() []Metric { return slices.Concat(Metrics, EdgeMetrics) }
+
+// Metrics is the table of the metrics of the product's own nodes; nodes on the users'
+// platform record those of them that apply.
 var Metrics = []Metric{
 	{Requests, Counter, "{request}", "Requests answered, by route and class of status. A request that was handed over counts at both nodes.", []string{"route", "class"}},
 	{RequestDuration, Histogram, "s", "Time from a request's arrival to the end of its answer, by route and class of status.", []string{"route", "class"}},
@@ -97,7 +104,11 @@
 	{PeerSent, ObservedCounter, "By", "Bytes of messages written to peers, without TLS and TCP.", nil},
 	{PeerReceived, ObservedCounter, "By", "Bytes of messages read from peers, without TLS and TCP.", nil},
 	{PeerDropped, ObservedCounter, "{message}", "Messages to peers dropped because a queue was full.", nil},
-	{Questions, ObservedCounter, "{question}", "Load questions asked before sends, on the users' platform.", nil},
+}
+
+// EdgeMetrics are recorded only by nodes on the users' platform.
+var EdgeMetrics = []Metric{
+	{Questions, ObservedCounter, "{question}", "Load questions asked before sends.", nil},
 	{QuestionFailures, ObservedCounter, "{question}", "Load questions without an answer.", nil},
 	{StoreAge, Gauge, "ms", "Time since the node or one that it follows last reached the platform's store.", nil},
 	{Watching, Gauge, "{node}", "1 when the node watches the platform's store.", nil},
--- a/pkg/telemetry/telemetry.go
+++ b/pkg/telemetry/telemetry.go
@@ -88,7 +88,7 @@
 
 func (t *Telemetry) makeInstruments() error {
 	meter := t.meters.Meter(scope)
-	for _, m := range Metrics {
+	for _, m := range All() {
 		var err error
 		switch m.Type {
 		case Counter:
--- a/pkg/telemetry/telemetry_test.go
+++ b/pkg/telemetry/telemetry_test.go
@@ -16,7 +16,7 @@
 	telemetry, err := New(t.Context(), Options{})
 	g.Expect(err).NotTo(HaveOccurred())
 	route := telemetry.Route("r")
-	for _, m := range Metrics {
+	for _, m := range All() {
 		switch m.Type {
 		case Counter:
 			route.Count(m.Name)
@@ -25,7 +25,7 @@
 		}
 	}
 	err = telemetry.Observe(func(record Record) {
-		for _, m := range Metrics {
+		for _, m := range All() {
 			if m.Type == ObservedCounter || m.Type == Gauge {
 				record(m.Name, 1)
 			}
@@ -34,7 +34,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	page := httptest.NewRecorder()
 	telemetry.Handler().ServeHTTP(page, httptest.NewRequest(http.MethodGet, "/metrics", nil))
-	for _, m := range Metrics {
+	for _, m := range All() {
 		g.Expect(page.Body.String()).To(ContainSubstring("# HELP " + m.PrometheusName() + " " + m.Meaning))
 	}
 }
--- a/testbed/edge/edge_test.go
+++ b/testbed/edge/edge_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/fireflychute/fireflychute/pkg/telemetry"
 	"github.com/fireflychute/fireflychute/testbed/instance"
 	"github.com/fireflychute/fireflychute/testbed/metastore"
 )
@@ -285,6 +286,8 @@
 	w.g.Expect(err).NotTo(HaveOccurred())
 	w.g.Expect(string(text)).To(And(
 		ContainSubstring(`fireflychute_requests_total{class="2"`), ContainSubstring("fireflychute_request_duration_seconds_bucket"),
-		ContainSubstring("fireflychute_questions_total"), ContainSubstring("fireflychute_watching"),
 	))
+	for _, m := range telemetry.EdgeMetrics {
+		w.g.Expect(string(text)).To(ContainSubstring(m.PrometheusName()))
+	}
 }
