Do not run a control action whose caller has left; wait for a target that is well

A caller of the control goroutine whose context ended read a variable that the queued action wrote later (race detector, TestFleetServesWithTwoWatchers and TestConfigurationComesIntoForceEverywhere). A target that says it is ill was used because it was heard 8 ms before one that is well (TestIllInstancesAreTheLastResort). Ruled out: a longer wait for all answers (it delays every request).

--- a/pkg/edge/controller.go
+++ b/pkg/edge/controller.go
@@ -135,12 +135,16 @@
 }
 
 // do executes a function on the control goroutine and waits for it. It returns
-// false when the context ended before.
+// false when the context ended before; the function is not executed then, so that it
+// cannot write what its caller already reads.
 func (c *controller) do(ctx context.Context, action func()) bool {
 	done := make(chan struct{})
+	var taken atomic.Bool // by the control goroutine or by the end of the context
 	wrapped := func() {
-		defer close(done)
-		action()
+		if taken.CompareAndSwap(false, true) {
+			action()
+			close(done)
+		}
 	}
 	select {
 	case c.inbox <- wrapped:
@@ -151,7 +155,11 @@
 	case <-done:
 		return true
 	case <-ctx.Done():
-		return false
+		if taken.CompareAndSwap(false, true) {
+			return false
+		}
+		<-done
+		return true
 	}
 }
 
--- a/pkg/forward/place.go
+++ b/pkg/forward/place.go
@@ -140,7 +140,7 @@
 }
 
 // ask asks targets for their load at the same time. It returns when all have
-// answered, or a short time after the first one has.
+// answered, or a short time after the first one that says it is well.
 func (c *call) ask(targets []*topology.Target) []heard {
 	answers := make(chan heard, len(targets))
 	for _, target := range targets {
@@ -157,7 +157,7 @@
 				continue
 			}
 			collected = append(collected, answer)
-			if straggle == nil {
+			if straggle == nil && answer.healthy {
 				straggle = time.After(straggleTime)
 			}
 		case <-straggle:
