--- a/cmd/fireflychute/edge.go
+++ b/cmd/fireflychute/edge.go
@@ -1,18 +1,36 @@
 package main
 
 import (
+	"fmt"
+	"io"
 	stdlog "log"
 	"os"
 
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 
 	"github.com/fireflychute/fireflychute/pkg/edge"
 	"github.com/fireflychute/fireflychute/platform"
 )
 
+// keptLines is how many lines wait for a slow reader of standard output. Further ones
+// are dropped: a request never waits for the log.
+const keptLines = 1000
+
+// boundedLines returns a writer that never waits for out.
+func boundedLines(out io.Writer) diode.Writer {
+	return diode.NewWriter(out, keptLines, 0, reportDropped)
+}
+
+func reportDropped(count int) {
+	fmt.Fprintf(os.Stderr, "{\"level\":\"warn\",\"dropped\":%d,\"message\":\"log lines dropped: standard output is not read\"}\n", count)
+}
+
 // serveEdge runs a node on the users' platform.
 func serveEdge(path string) int {
-	log := zerolog.New(os.Stdout).Level(zerolog.InfoLevel).With().Timestamp().Logger()
+	lines := boundedLines(os.Stdout)
+	defer lines.Close()
+	log := zerolog.New(lines).Level(zerolog.InfoLevel).With().Timestamp().Logger()
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(edge.LibraryLines(log)) // net/http logs faults of targets by itself
 	if path == "" {
