Remove state in pkg/edge that nothing reads

Cause: the reading of the whole change found the time a target was read at, the time and the routes of a tracked rollout, a channel of the control actor and a result of list that nobody uses. No change of behaviour; go vet and the tests of pkg/edge pass.

--- a/pkg/edge/controller.go
+++ b/pkg/edge/controller.go
@@ -167,7 +167,7 @@
 	c.dirty = c.replica.Expire(now) || c.dirty || c.published.Load() == nil
 	if c.dirty {
 		c.dirty = false
-		c.decode(now)
+		c.decode()
 		c.publish(now)
 		c.notify()
 	}
--- a/pkg/edge/process.go
+++ b/pkg/edge/process.go
@@ -184,9 +184,7 @@
 
 func (p *Process) addControl(group *run.Group) {
 	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan struct{})
 	group.Add(func() error {
-		defer close(ended)
 		return p.control.run(ctx)
 	}, func(error) {
 		// Requests are still served while the node drains; control ends with them.
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/fireflychute/fireflychute/pkg/canary"
@@ -32,9 +33,7 @@
 
 // tracked is one rollout in progress.
 type tracked struct {
-	seen    time.Time
 	judge   *judge.Judge
-	routes  map[string]bool
 	judged  time.Time
 	last    map[canary.Key]canary.Counts
 	rate    float64
@@ -141,8 +140,8 @@
 func (c *controller) track(now time.Time, order topology.Order) *tracked {
 	t := c.rollouts.tracked[order.ID]
 	if t == nil {
-		t = &tracked{seen: now, baseAt: now, since: now, judged: now, routes: map[string]bool{}, last: map[canary.Key]canary.Counts{}}
-		t.judge = judge.New(judge.Alpha, c.routesOf(order.Service, t.routes))
+		t = &tracked{baseAt: now, since: now, judged: now, last: map[canary.Key]canary.Counts{}}
+		t.judge = judge.New(judge.Alpha, c.routesOf(order.Service))
 		c.rollouts.tracked[order.ID] = t
 		c.log.Info().Str("service", order.Service).Str("version", order.Version).Dur("duration", order.Duration).
 			Uint64("order", order.ID).Msg("rollout ordered")
@@ -162,7 +161,7 @@
 // elapsed is the time since the order, also across changes of the leader.
 func (t *tracked) elapsed(now time.Time) time.Duration { return t.base + now.Sub(t.baseAt) }
 
-func (c *controller) routesOf(service string, known map[string]bool) []string {
+func (c *controller) routesOf(service string) []string {
 	var names []string
 	if c.view.configuration == nil {
 		return nil
@@ -170,8 +169,7 @@
 	for i := range c.view.configuration.Routes {
 		route := &c.view.configuration.Routes[i]
 		for _, part := range route.Parts {
-			if part.Service == service && !known[route.Name] {
-				known[route.Name] = true
+			if part.Service == service && !slices.Contains(names, route.Name) {
 				names = append(names, route.Name)
 			}
 		}
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -28,15 +28,14 @@
 // decodedTarget is a target with the revision of the object it was decoded from.
 type decodedTarget struct {
 	revision uint64
-	readAt   time.Time
 	target   catalog.Target
 	err      error
 }
 
 // decode brings the view up to the replica.
-func (c *controller) decode(now time.Time) {
+func (c *controller) decode() {
 	c.decodeConfiguration()
-	c.decodeTargets(now)
+	c.decodeTargets()
 	c.decodeNodes()
 	c.decodeMoves()
 }
@@ -60,7 +59,7 @@
 	}
 }
 
-func (c *controller) decodeTargets(now time.Time) {
+func (c *controller) decodeTargets() {
 	decoded := map[string]decodedTarget{}
 	for _, object := range c.replica.Objects(replica.Targets) {
 		known, ok := c.view.targets[object.Name]
@@ -69,7 +68,7 @@
 			continue
 		}
 		target, err := c.options.Codec.Target(object)
-		decoded[object.Name] = decodedTarget{object.Revision, now, target, err}
+		decoded[object.Name] = decodedTarget{object.Revision, target, err}
 		c.logTarget(object, known, target, err)
 	}
 	for name, gone := range c.view.targets {
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -108,7 +108,7 @@
 		from = c.replica.AsOf(kind)
 	})
 	if !known {
-		return c.list(ctx, kind)
+		return false, c.list(ctx, kind)
 	}
 	began := time.Now()
 	wait := watchTimeOf(kind)
@@ -135,13 +135,14 @@
 	return changed, err
 }
 
-func (c *controller) list(ctx context.Context, kind replica.Kind) (changed bool, err error) {
+// list reads a kind as a whole.
+func (c *controller) list(ctx context.Context, kind replica.Kind) error {
 	began := time.Now()
 	call, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	objects, asOf, err := c.options.Store.List(call, kind)
 	if ctx.Err() != nil {
-		return false, nil
+		return nil
 	}
 	c.do(ctx, func() {
 		now := time.Now()
@@ -150,10 +151,9 @@
 			return
 		}
 		delete(c.watch.relist, kind)
-		changed = c.replica.Replace(now, kind, asOf, objects, c.mayLapse(now, began))
-		c.dirty = c.dirty || changed
+		c.dirty = c.replica.Replace(now, kind, asOf, objects, c.mayLapse(now, began)) || c.dirty
 	})
-	return false, err
+	return err
 }
 
 func watchTimeOf(kind replica.Kind) time.Duration {
