Use one list of the headers that concern one connection

Cause: pkg/forward had a copy of pkg/proxy's list of hop-by-hop headers and of the function that removes them.

--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -6,9 +6,9 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
+	"github.com/fireflychute/fireflychute/pkg/hopbyhop"
 	"github.com/fireflychute/fireflychute/pkg/topology"
 	"github.com/fireflychute/fireflychute/pkg/transport"
 )
@@ -17,12 +17,6 @@
 // answer that breaks off before can still be replaced.
 const keptBytes = 128 << 10
 
-// hopByHop are the headers that concern one connection only.
-var hopByHop = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
-}
-
 // result is what came of one send.
 type result struct {
 	try    Try
@@ -162,7 +156,7 @@
 		Method: c.request.Method, URL: &url, Host: c.request.Host, Header: c.request.Header.Clone(),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
-	removeHopByHop(out.Header)
+	hopbyhop.Remove(out.Header)
 	if _, set := out.Header["User-Agent"]; !set {
 		out.Header["User-Agent"] = nil // keeps the Transport from adding its own
 	}
@@ -174,17 +168,6 @@
 	return out.WithContext(ctx)
 }
 
-func removeHopByHop(header http.Header) {
-	for _, line := range header["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		delete(header, name)
-	}
-}
-
 // pass sends the answer to the caller. A long answer that breaks off ends as a
 // broken transfer.
 func (c *call) pass(r *result) {
@@ -229,7 +212,7 @@
 }
 
 func copyHeader(to, from http.Header) {
-	removeHopByHop(from)
+	hopbyhop.Remove(from)
 	for name, values := range from {
 		to[name] = values
 	}
--- a/pkg/proxy/headers.go
+++ b/pkg/proxy/headers.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/net/http/httpguts"
+
+	"github.com/fireflychute/fireflychute/pkg/hopbyhop"
 )
 
 // Headers with a meaning to nodes, targets and callers.
@@ -32,25 +34,6 @@
 	maxIDBytes = 128
 )
 
-// hopByHop are the headers that concern one connection only.
-var hopByHop = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
-}
-
-// removeHopByHop removes the headers of one connection and those that its
-// Connection header names.
-func removeHopByHop(header http.Header) {
-	for _, line := range header["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		delete(header, name)
-	}
-}
-
 // removeOwn removes the headers of this project. Keys are canonical here.
 func removeOwn(header http.Header) {
 	for name := range header {
@@ -88,7 +71,7 @@
 // target, and with those that the node sets.
 func headersToTarget(c *call, remaining time.Duration) http.Header {
 	header := c.request.Header.Clone()
-	removeHopByHop(header)
+	hopbyhop.Remove(header)
 	removeOwn(header)
 	if _, set := header["User-Agent"]; !set {
 		header["User-Agent"] = nil // keeps the Transport from adding its own
@@ -117,7 +100,7 @@
 // may set. A stated outcome is kept on refusals.
 func copyAnswerHeaders(to http.Header, answer *http.Response) {
 	outcome := answer.Header.Get(HeaderOutcome)
-	removeHopByHop(answer.Header)
+	hopbyhop.Remove(answer.Header)
 	removeOwn(answer.Header)
 	for name, values := range answer.Header {
 		to[name] = values
