Use one writer for the lines that net/http logs by itself

Cause: pkg/edge had a copy of the writer of pkg/node. It is pkg/liblog now; the address comes with the logger. The test in pkg/node keeps its expected lines.

--- a/cmd/fireflychute/edge.go
+++ b/cmd/fireflychute/edge.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog/diode"
 
 	"github.com/fireflychute/fireflychute/pkg/edge"
+	"github.com/fireflychute/fireflychute/pkg/liblog"
 	"github.com/fireflychute/fireflychute/platform"
 )
 
@@ -32,7 +33,7 @@
 	defer lines.Close()
 	log := zerolog.New(lines).Level(zerolog.InfoLevel).With().Timestamp().Logger()
 	stdlog.SetFlags(0)
-	stdlog.SetOutput(edge.LibraryLines(log)) // net/http logs faults of targets by itself
+	stdlog.SetOutput(liblog.New(log)) // net/http logs faults of targets by itself
 	if path == "" {
 		path = os.Getenv(platform.SettingsVariable)
 	}
--- a/pkg/edge/journal.go
+++ b/pkg/edge/journal.go
@@ -1,9 +1,6 @@
 package edge
 
 import (
-	"bytes"
-	"io"
-	"log"
 	"sync"
 	"time"
 
@@ -138,24 +135,3 @@
 		observer.Asked(failed)
 	}
 }
-
-// serverLog takes the lines that net/http logs by itself. Faults of clients can be
-// many and are no fault of the node.
-func serverLog(logger zerolog.Logger) *log.Logger {
-	return log.New(LibraryLines(logger), "", 0)
-}
-
-// LibraryLines takes the lines that libraries log by themselves.
-func LibraryLines(logger zerolog.Logger) io.Writer { return libraryLines{logger} }
-
-type libraryLines struct{ log zerolog.Logger }
-
-// Write implements io.Writer.
-func (s libraryLines) Write(line []byte) (int, error) {
-	level := zerolog.DebugLevel
-	if bytes.Contains(line, []byte("panic serving")) {
-		level = zerolog.ErrorLevel
-	}
-	s.log.WithLevel(level).Msg(string(bytes.TrimSpace(line)))
-	return len(line), nil
-}
--- a/pkg/edge/process.go
+++ b/pkg/edge/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -17,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/fireflychute/fireflychute/pkg/forward"
+	"github.com/fireflychute/fireflychute/pkg/liblog"
 	"github.com/fireflychute/fireflychute/pkg/telemetry"
 	"github.com/fireflychute/fireflychute/pkg/topology"
 	"github.com/fireflychute/fireflychute/pkg/transport"
@@ -122,7 +124,7 @@
 	p.addControl(&group)
 	callers := &http.Server{
 		Handler: p.handler, ReadHeaderTimeout: defaultHeaderTime, IdleTimeout: defaultIdleTime,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: serverLog(p.log),
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: log.New(liblog.New(p.log), "", 0),
 	}
 	err := p.addServer(&group, p.options.Settings.CallerListen, callers, p.drain)
 	if err != nil {
--- a/pkg/node/listener.go
+++ b/pkg/node/listener.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bytes"
 	"context"
 	"crypto/tls"
 	"log"
@@ -11,9 +10,9 @@
 
 	"github.com/oklog/run"
 	"github.com/pkg/errors"
-	"github.com/rs/zerolog"
 	"golang.org/x/net/netutil"
 
+	"github.com/fireflychute/fireflychute/pkg/liblog"
 	"github.com/fireflychute/fireflychute/pkg/settings"
 )
 
@@ -38,7 +37,7 @@
 		ReadTimeout:       milliseconds(l.limits.BodyTimeMs),
 		IdleTimeout:       milliseconds(l.limits.IdleTimeMs),
 		MaxHeaderBytes:    l.limits.MaxHeaderBytes,
-		ErrorLog:          log.New(serverLog{n.log, l.address}, "", 0),
+		ErrorLog:          log.New(liblog.New(n.log.With().Str("address", l.address).Logger()), "", 0),
 	}
 	stopped := make(chan struct{})
 	group.Add(func() error {
@@ -71,20 +70,3 @@
 	}
 	return server.Serve(tls.NewListener(limited, l.tls))
 }
-
-// serverLog takes the lines that net/http logs by itself.
-type serverLog struct {
-	log     zerolog.Logger
-	address string
-}
-
-// Write implements io.Writer. Faults of clients, for example failed handshakes, are
-// no change of state of the node and can be many; a panic is a fault of the node.
-func (s serverLog) Write(line []byte) (int, error) {
-	level := zerolog.DebugLevel
-	if bytes.Contains(line, []byte("panic serving")) {
-		level = zerolog.ErrorLevel
-	}
-	s.log.WithLevel(level).Str("address", s.address).Msg(string(bytes.TrimSpace(line)))
-	return len(line), nil
-}
