--- a/cmd/fireflychute/main.go
+++ b/cmd/fireflychute/main.go
@@ -92,7 +92,8 @@
 		log.Error().Err(err).Msg("settings refused")
 		return exitUsage
 	}
-	err = node.Run(config, log.With().Str("node", config.Node.Name).Logger())
+	store := platform.NewObjects(config.Platform.URL, nil)
+	err = node.Run(config, store, log.With().Str("node", config.Node.Name).Logger())
 	if err != nil {
 		log.Error().Err(err).Msg("node ended")
 		return exitFailure
--- a/pkg/control/backend.go
+++ b/pkg/control/backend.go
@@ -11,8 +11,8 @@
 	"github.com/fireflychute/fireflychute/pkg/configuration"
 	"github.com/fireflychute/fireflychute/pkg/datacentre"
 	"github.com/fireflychute/fireflychute/pkg/explain"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 	"github.com/fireflychute/fireflychute/pkg/operator"
-	"github.com/fireflychute/fireflychute/pkg/platform"
 	"github.com/fireflychute/fireflychute/pkg/targets"
 )
 
@@ -64,8 +64,8 @@
 
 // statusKinds maps kinds of the resource API to the objects that keep their status.
 var statusKinds = map[string]string{
-	api.KindRollout:    platform.KindRolloutStatus,
-	api.KindDataCentre: platform.KindDataCentreStatus,
+	api.KindRollout:    objectstore.KindRolloutStatus,
+	api.KindDataCentre: objectstore.KindDataCentreStatus,
 }
 
 // Status implements operator.Backend. It reads the platform, and shows the last
@@ -110,7 +110,7 @@
 // Fleet implements operator.Backend.
 func (b *Backend) Fleet() (api.FleetStatus, bool) {
 	var status api.FleetStatus
-	value, found := b.readStatus(platform.KindFleetStatus, fleetName)
+	value, found := b.readStatus(objectstore.KindFleetStatus, fleetName)
 	if !found {
 		return status, false
 	}
--- a/pkg/control/backend_test.go
+++ b/pkg/control/backend_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/explain"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 	"github.com/fireflychute/fireflychute/pkg/operator/operatortest"
-	"github.com/fireflychute/fireflychute/pkg/platform"
 	"github.com/fireflychute/fireflychute/pkg/targets"
 )
 
@@ -20,13 +20,13 @@
 func TestChangedStatusIsReadAgain(t *testing.T) {
 	g := NewWithT(t)
 	store := operatortest.NewStore()
-	version, err := store.Create(context.Background(), platform.KindRolloutStatus, "r", []byte(`{"phase":"Progressing"}`))
+	version, err := store.Create(context.Background(), objectstore.KindRolloutStatus, "r", []byte(`{"phase":"Progressing"}`))
 	g.Expect(err).NotTo(HaveOccurred())
 	c := New(Options{Store: store, Random: rand.New(rand.NewPCG(1, 1))})
 	backend := NewBackend(c, &explain.Ring{})
 	before, _ := backend.Status(api.KindRollout, "r")
 	g.Expect(string(before)).To(ContainSubstring("Progressing"))
-	_, err = store.Update(context.Background(), platform.KindRolloutStatus, "r", []byte(`{"phase":"RolledBack"}`), version)
+	_, err = store.Update(context.Background(), objectstore.KindRolloutStatus, "r", []byte(`{"phase":"RolledBack"}`), version)
 	g.Expect(err).NotTo(HaveOccurred())
 	c.view.Load().statusChanged()
 	after, _ := backend.Status(api.KindRollout, "r")
--- a/pkg/control/fetch.go
+++ b/pkg/control/fetch.go
@@ -12,7 +12,7 @@
 	"github.com/fireflychute/fireflychute/pkg/configuration"
 	"github.com/fireflychute/fireflychute/pkg/membership"
 	"github.com/fireflychute/fireflychute/pkg/message"
-	"github.com/fireflychute/fireflychute/pkg/platform"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 )
 
 // readPlatform reads the manifest and the list of VMs once.
@@ -20,10 +20,10 @@
 	c.sync.readAt = now
 	c.sync.reading = true
 	c.background(platformCallTime, func(ctx context.Context) event {
-		object, err := c.options.Store.Get(ctx, platform.KindManifest, platform.ManifestName)
+		object, err := c.options.Store.Get(ctx, objectstore.KindManifest, objectstore.ManifestName)
 		return func(now time.Time) {
 			c.sync.reading = false
-			if errors.Is(err, platform.ErrNotFound) {
+			if errors.Is(err, objectstore.ErrNotFound) {
 				c.heardPlatform(now, nil)
 				return
 			}
@@ -34,7 +34,7 @@
 		}
 	})
 	c.background(platformCallTime, func(ctx context.Context) event {
-		list, err := c.options.Store.VMs(ctx, 0)
+		list, _, err := c.options.Store.VMs(ctx, 0)
 		return func(now time.Time) {
 			c.heardPlatform(now, err)
 			if err == nil {
@@ -95,7 +95,7 @@
 // loadConfig reads the manifest and the missing blobs from the platform.
 func (c *Controller) loadConfig(time.Time) {
 	c.background(platformCallTime, func(ctx context.Context) event {
-		object, err := c.options.Store.Get(ctx, platform.KindManifest, platform.ManifestName)
+		object, err := c.options.Store.Get(ctx, objectstore.KindManifest, objectstore.ManifestName)
 		return func(now time.Time) {
 			c.heardPlatform(now, err)
 			if err != nil {
@@ -108,7 +108,7 @@
 }
 
 // loadBlobs reads the blobs of a manifest that the node does not hold yet.
-func (c *Controller) loadBlobs(object platform.Object) {
+func (c *Controller) loadBlobs(object objectstore.Object) {
 	var manifest api.Manifest
 	err := json.Unmarshal(object.Value, &manifest)
 	if err != nil || object.Version <= c.revision() {
@@ -139,10 +139,10 @@
 }
 
 // readBlobs returns the blobs that were read before the first error.
-func readBlobs(ctx context.Context, store platform.Store, digests []string) (map[string][]byte, error) {
+func readBlobs(ctx context.Context, store objectstore.Store, digests []string) (map[string][]byte, error) {
 	blobs := map[string][]byte{}
 	for _, digest := range digests {
-		object, err := store.Get(ctx, platform.KindBlob, digest)
+		object, err := store.Get(ctx, objectstore.KindBlob, digest)
 		if err != nil {
 			return blobs, errors.Wrapf(err, "read blob %s", digest)
 		}
--- a/pkg/control/leases.go
+++ b/pkg/control/leases.go
@@ -11,7 +11,7 @@
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/lease"
 	"github.com/fireflychute/fireflychute/pkg/membership"
-	"github.com/fireflychute/fireflychute/pkg/platform"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 	"github.com/fireflychute/fireflychute/pkg/share"
 )
 
@@ -192,7 +192,7 @@
 func (c *Controller) readLease(held *heldLease) {
 	held.busy = true
 	c.background(platformCallTime, func(ctx context.Context) event {
-		object, err := c.options.Store.Get(ctx, platform.KindLease, held.name)
+		object, err := c.options.Store.Get(ctx, objectstore.KindLease, held.name)
 		return func(now time.Time) {
 			held.busy = false
 			c.takeLease(now, held, object, err)
@@ -200,7 +200,7 @@
 	})
 }
 
-func (c *Controller) takeLease(now time.Time, held *heldLease, object platform.Object, err error) {
+func (c *Controller) takeLease(now time.Time, held *heldLease, object objectstore.Object, err error) {
 	if notFound(err) {
 		c.heardPlatform(now, nil)
 		held.machine.Observed(now, api.LeaseRecord{}, 0)
@@ -227,7 +227,7 @@
 	}
 	held.busy = true
 	c.background(platformCallTime, func(ctx context.Context) event {
-		version, err := put(ctx, c.options.Store, platform.KindLease, held.name, value, step.IfVersion)
+		version, err := put(ctx, c.options.Store, objectstore.KindLease, held.name, value, step.IfVersion)
 		return func(now time.Time) {
 			held.busy = false
 			c.heardPlatform(now, ignoreConflict(err))
@@ -256,7 +256,7 @@
 		step := held.machine.Release()
 		value, err := json.Marshal(step.Record)
 		if err == nil && step.Action == lease.Write {
-			_, _ = put(ctx, c.options.Store, platform.KindLease, name, value, step.IfVersion)
+			_, _ = put(ctx, c.options.Store, objectstore.KindLease, name, value, step.IfVersion)
 		}
 		c.publishFact(time.Now(), membership.Fact{Key: prefixLease + name, Epoch: held.epoch, Version: firstFactNumber + 1})
 	}
--- a/pkg/control/moves.go
+++ b/pkg/control/moves.go
@@ -8,7 +8,7 @@
 	"github.com/fireflychute/fireflychute/pkg/datacentre"
 	"github.com/fireflychute/fireflychute/pkg/membership"
 	"github.com/fireflychute/fireflychute/pkg/message"
-	"github.com/fireflychute/fireflychute/pkg/platform"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 )
 
 // reportAge is how long a node's report on a data centre counts.
@@ -136,7 +136,7 @@
 			c.options.Log.Info().Str("dataCentre", name).Str("state", string(spec.State)).Str("phase", string(next.Phase)).Msg("data centre move")
 		}
 		next.Operation = operation()
-		writeStatus(c, platform.KindDataCentreStatus, name, entry, next, func(time.Time) {})
+		writeStatus(c, objectstore.KindDataCentreStatus, name, entry, next, func(time.Time) {})
 	}
 }
 
--- a/pkg/control/options.go
+++ b/pkg/control/options.go
@@ -11,7 +11,7 @@
 
 	"github.com/fireflychute/fireflychute/pkg/membership"
 	"github.com/fireflychute/fireflychute/pkg/message"
-	"github.com/fireflychute/fireflychute/pkg/platform"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
 )
 
@@ -31,7 +31,7 @@
 	Seeds []string
 	// Relay is the address on which this node takes over calls; may be empty.
 	Relay     string
-	Store     platform.Store
+	Store     objectstore.Store
 	Peers     Peers
 	Published *atomic.Pointer[snapshot.Snapshot]
 	// OnPublish is called after each new snapshot and must not block; may be nil.
--- a/pkg/control/reconcile.go
+++ b/pkg/control/reconcile.go
@@ -9,8 +9,8 @@
 
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/membership"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 	"github.com/fireflychute/fireflychute/pkg/operator"
-	"github.com/fireflychute/fireflychute/pkg/platform"
 )
 
 const (
@@ -89,18 +89,18 @@
 	})
 }
 
-func readStatuses(ctx context.Context, store platform.Store) (statuses, error) {
+func readStatuses(ctx context.Context, store objectstore.Store) (statuses, error) {
 	var fresh statuses
 	var err error
-	fresh.rollouts, err = readAll[api.RolloutStatus](ctx, store, platform.KindRolloutStatus)
+	fresh.rollouts, err = readAll[api.RolloutStatus](ctx, store, objectstore.KindRolloutStatus)
 	if err != nil {
 		return fresh, err
 	}
-	fresh.dataCentres, err = readAll[api.DataCentreStatus](ctx, store, platform.KindDataCentreStatus)
+	fresh.dataCentres, err = readAll[api.DataCentreStatus](ctx, store, objectstore.KindDataCentreStatus)
 	if err != nil {
 		return fresh, err
 	}
-	fleets, err := readAll[api.FleetStatus](ctx, store, platform.KindFleetStatus)
+	fleets, err := readAll[api.FleetStatus](ctx, store, objectstore.KindFleetStatus)
 	if err != nil {
 		return fresh, err
 	}
@@ -110,7 +110,7 @@
 	return fresh, nil
 }
 
-func readAll[T any](ctx context.Context, store platform.Store, kind string) (map[string]*stored[T], error) {
+func readAll[T any](ctx context.Context, store objectstore.Store, kind string) (map[string]*stored[T], error) {
 	objects, _, err := store.List(ctx, kind)
 	if err != nil {
 		return nil, err
@@ -181,7 +181,7 @@
 		return
 	}
 	next.Operation = operation()
-	writeStatus(c, platform.KindFleetStatus, fleetName, entry, next, func(time.Time) {})
+	writeStatus(c, objectstore.KindFleetStatus, fleetName, entry, next, func(time.Time) {})
 }
 
 // collectBlobs deletes specs that nothing refers to any more.
--- a/pkg/control/rollouts.go
+++ b/pkg/control/rollouts.go
@@ -8,8 +8,8 @@
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/judge"
 	"github.com/fireflychute/fireflychute/pkg/membership"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 	"github.com/fireflychute/fireflychute/pkg/outcome"
-	"github.com/fireflychute/fireflychute/pkg/platform"
 	"github.com/fireflychute/fireflychute/pkg/rollout"
 )
 
@@ -167,7 +167,7 @@
 			Str("reason", lastReason(next)).Msg("rollout step")
 	}
 	next.Operation = operation()
-	writeStatus(c, platform.KindRolloutStatus, key.name, entry, next, func(now time.Time) {
+	writeStatus(c, objectstore.KindRolloutStatus, key.name, entry, next, func(now time.Time) {
 		c.announceRollout(now, key.name, entry)
 	})
 }
--- a/pkg/control/store.go
+++ b/pkg/control/store.go
@@ -5,11 +5,11 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/fireflychute/fireflychute/pkg/platform"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 )
 
 // put creates an object when ifVersion is 0 and else updates it.
-func put(ctx context.Context, store platform.Store, kind, name string, value []byte, ifVersion uint64) (uint64, error) {
+func put(ctx context.Context, store objectstore.Store, kind, name string, value []byte, ifVersion uint64) (uint64, error) {
 	if ifVersion == 0 {
 		return store.Create(ctx, kind, name, value)
 	}
@@ -17,12 +17,12 @@
 }
 
 func notFound(err error) bool {
-	return errors.Is(err, platform.ErrNotFound)
+	return errors.Is(err, objectstore.ErrNotFound)
 }
 
 // ignoreConflict returns nil for a conflict: the platform answered.
 func ignoreConflict(err error) error {
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, objectstore.ErrConflict) {
 		return nil
 	}
 	return err
--- a/pkg/control/vms.go
+++ b/pkg/control/vms.go
@@ -64,7 +64,7 @@
 
 func (c *Controller) loadVMs() {
 	c.background(platformCallTime, func(ctx context.Context) event {
-		list, err := c.options.Store.VMs(ctx, 0)
+		list, _, err := c.options.Store.VMs(ctx, 0)
 		return func(now time.Time) {
 			c.sync.vms.busy = false
 			c.heardPlatform(now, err)
--- a/pkg/control/watch.go
+++ b/pkg/control/watch.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/fireflychute/fireflychute/pkg/platform"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 )
 
 // watchRetryTime is the pause after a failed watch.
@@ -53,14 +53,14 @@
 
 // nextManifests waits for manifests after a version, oldest first, and returns the
 // version to go on from.
-func (c *Controller) nextManifests(ctx context.Context, version uint64) ([]platform.Object, uint64, error) {
-	events, next, err := c.options.Store.Watch(ctx, platform.KindManifest, version)
-	if errors.Is(err, platform.ErrForgotten) {
+func (c *Controller) nextManifests(ctx context.Context, version uint64) ([]objectstore.Object, uint64, error) {
+	events, next, err := c.options.Store.Watch(ctx, objectstore.KindManifest, version)
+	if errors.Is(err, objectstore.ErrHistoryGone) {
 		ctx, cancel := context.WithTimeout(ctx, platformCallTime)
 		defer cancel()
-		return c.options.Store.List(ctx, platform.KindManifest)
+		return c.options.Store.List(ctx, objectstore.KindManifest)
 	}
-	objects := make([]platform.Object, 0, len(events))
+	objects := make([]objectstore.Object, 0, len(events))
 	for _, event := range events {
 		objects = append(objects, event.Object)
 	}
@@ -70,7 +70,7 @@
 // watchVMs follows the list of VMs until ctx ends.
 func (c *Controller) watchVMs(ctx context.Context, version uint64) {
 	for ctx.Err() == nil {
-		list, err := c.options.Store.VMs(ctx, version)
+		list, next, err := c.options.Store.VMs(ctx, version)
 		c.post(func(now time.Time) {
 			c.heardPlatform(now, err)
 			if err == nil {
@@ -81,7 +81,7 @@
 			pause(ctx, watchRetryTime)
 			continue
 		}
-		version = max(version, uint64(list.Version))
+		version = max(version, next)
 	}
 }
 
--- a/pkg/edge/store.go
+++ b/pkg/edge/store.go
@@ -2,44 +2,26 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/fireflychute/fireflychute/pkg/catalog"
 	"github.com/fireflychute/fireflychute/pkg/replica"
 )
 
-// Errors of the store.
-var (
-	// ErrConflict means that the object has another revision or exists already.
-	ErrConflict = errors.New("object was changed by someone else")
-	ErrNotFound = errors.New("no such object")
-	// ErrHistoryGone means that a watch cannot go on from its revision.
-	ErrHistoryGone = errors.New("store forgot the changes since the revision")
-)
-
-// StoreError tells at which step a call to the store failed.
-type StoreError struct {
-	Step string
-	Peer string
-	Err  error
-}
-
-// Error implements error.
-func (e *StoreError) Error() string { return fmt.Sprintf("%s at store %s: %v", e.Step, e.Peer, e.Err) }
-
-// Unwrap returns the cause.
-func (e *StoreError) Unwrap() error { return e.Err }
-
-// Store is the platform's metadata store.
+// Store is the platform's metadata store. Its errors are of type *objectstore.CallError.
 type Store interface {
+	// List reads all objects of a kind and the store's revision before that.
 	List(ctx context.Context, kind replica.Kind) (objects []replica.Object, asOf uint64, err error)
+	// Watch waits for changes of a kind after a revision, up to a time. It returns no
+	// event when nothing changed.
 	Watch(ctx context.Context, kind replica.Kind, from uint64, wait time.Duration) (events []replica.Event, asOf uint64, err error)
+	// Create stores an object that must not exist.
 	Create(ctx context.Context, kind replica.Kind, name string, spec []byte) (replica.Object, error)
+	// Replace stores a spec if the object still has the revision.
 	Replace(ctx context.Context, kind replica.Kind, name string, revision uint64, spec []byte) (replica.Object, error)
+	// ReplaceStatus stores a status if the object still has the revision.
 	ReplaceStatus(ctx context.Context, kind replica.Kind, name string, revision uint64, status []byte) (replica.Object, error)
+	// Delete removes an object if it still has the revision.
 	Delete(ctx context.Context, kind replica.Kind, name string, revision uint64) error
 }
 
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 	"github.com/fireflychute/fireflychute/pkg/replica"
 )
 
@@ -118,7 +119,7 @@
 	if ctx.Err() != nil {
 		return false, nil
 	}
-	if errors.Is(err, ErrHistoryGone) {
+	if errors.Is(err, objectstore.ErrHistoryGone) {
 		c.do(ctx, func() { c.watch.relist[kind] = true })
 		c.log.Info().Int("kind", int(kind)).Uint64("from", from).Msg("store forgot the changes; the kind is read again")
 		return false, nil
--- a/pkg/node/deduplicator.go
+++ b/pkg/node/deduplicator.go
@@ -8,12 +8,12 @@
 	"github.com/pkg/errors"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
-	"github.com/fireflychute/fireflychute/pkg/platform"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 )
 
 // deduplicator records idempotency keys as objects at the platform.
 type deduplicator struct {
-	store platform.Store
+	store objectstore.Store
 	node  string
 }
 
@@ -25,13 +25,13 @@
 	if err != nil {
 		return false, errors.Wrap(err, "encode request record")
 	}
-	_, err = d.store.Create(ctx, platform.KindRequest, name, value)
+	_, err = d.store.Create(ctx, objectstore.KindRequest, name, value)
 	switch {
 	case err == nil:
 		return true, nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectstore.ErrConflict):
 		return false, nil
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, objectstore.ErrUnknownOutcome):
 		return d.isOwn(ctx, name, record.Operation)
 	default:
 		return false, err
@@ -39,7 +39,7 @@
 }
 
 func (d deduplicator) isOwn(ctx context.Context, name, operation string) (bool, error) {
-	object, err := d.store.Get(ctx, platform.KindRequest, name)
+	object, err := d.store.Get(ctx, objectstore.KindRequest, name)
 	if err != nil {
 		return false, err
 	}
--- a/pkg/node/metrics_test.go
+++ b/pkg/node/metrics_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/fireflychute/fireflychute/pkg/control"
+	"github.com/fireflychute/fireflychute/pkg/operator/operatortest"
 	"github.com/fireflychute/fireflychute/pkg/settings"
 	"github.com/fireflychute/fireflychute/pkg/targets"
 	"github.com/fireflychute/fireflychute/pkg/telemetry"
@@ -67,7 +68,7 @@
 url = "http://127.0.0.1:1"
 `))
 	g.Expect(err).NotTo(HaveOccurred())
-	n, err := newNode(config, zerolog.Nop())
+	n, err := newNode(config, operatortest.NewStore(), zerolog.Nop())
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(n.peers.Close()).To(Succeed())
 	n.client.Close()
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -17,9 +17,9 @@
 	"github.com/fireflychute/fireflychute/pkg/control"
 	"github.com/fireflychute/fireflychute/pkg/explain"
 	"github.com/fireflychute/fireflychute/pkg/membership"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 	"github.com/fireflychute/fireflychute/pkg/operator"
 	"github.com/fireflychute/fireflychute/pkg/peer"
-	"github.com/fireflychute/fireflychute/pkg/platform"
 	"github.com/fireflychute/fireflychute/pkg/proxy"
 	"github.com/fireflychute/fireflychute/pkg/settings"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
@@ -40,7 +40,7 @@
 type Node struct {
 	settings   settings.Settings
 	log        zerolog.Logger
-	store      platform.Store
+	store      objectstore.Store
 	telemetry  *telemetry.Telemetry
 	client     *peer.Client
 	peers      *peer.Server
@@ -50,11 +50,11 @@
 }
 
 // Run serves until a signal ends the process. The error of a planned stop is nil.
-func Run(config settings.Settings, log zerolog.Logger) error {
+func Run(config settings.Settings, store objectstore.Store, log zerolog.Logger) error {
 	if config.Node.MemoryLimitBytes > 0 {
 		debug.SetMemoryLimit(int64(config.Node.MemoryLimitBytes))
 	}
-	n, err := newNode(config, log)
+	n, err := newNode(config, store, log)
 	if err != nil {
 		return err
 	}
@@ -64,7 +64,7 @@
 	return err
 }
 
-func newNode(config settings.Settings, log zerolog.Logger) (*Node, error) {
+func newNode(config settings.Settings, store objectstore.Store, log zerolog.Logger) (*Node, error) {
 	metrics, err := telemetry.New(context.Background(), telemetry.Options{
 		OTLP: config.Tracing.Endpoint, Node: config.Node.Name, SampleRatio: config.Tracing.SampleRatio,
 	})
@@ -77,7 +77,7 @@
 	}
 	n := &Node{
 		settings: config, log: log, telemetry: metrics,
-		store:  platform.NewClient(config.Platform.URL, nil),
+		store:  store,
 		client: peer.NewClient(config.Node.Name, peerClient),
 	}
 	n.join()
--- a/pkg/platform/errors.go
+++ b/pkg/objectstore/errors.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"fmt"
@@ -7,14 +7,14 @@
 	"github.com/pkg/errors"
 )
 
-// Errors of the object API. Match them with errors.Is.
+// Classes of failed calls. Match them with errors.Is.
 var (
 	ErrNotFound       = errors.New("object not found")
-	ErrConflict       = errors.New("object changed since it was read")
+	ErrConflict       = errors.New("object changed since it was read, or exists already")
 	ErrRateLimited    = errors.New("platform refused the call by rate")
 	ErrUnavailable    = errors.New("platform unavailable")
 	ErrUnknownOutcome = errors.New("answer lost; the write may have taken effect")
-	ErrForgotten      = errors.New("platform no longer keeps the version to watch from")
+	ErrHistoryGone    = errors.New("platform no longer keeps the changes since the version")
 )
 
 // CallError says in which step a call failed and at which peer.
@@ -23,15 +23,25 @@
 	Peer string
 	// RetryAfter is the platform's advice; zero when it gave none.
 	RetryAfter time.Duration
-	Err        error
+	// Class is one of the errors of this package.
+	Class error
+	// Cause is what the transport or the decoder said; nil where a status said it all.
+	Cause error
 }
 
 // Error implements error.
 func (e *CallError) Error() string {
-	return fmt.Sprintf("platform %s at %s: %v", e.Step, e.Peer, e.Err)
+	text := fmt.Sprintf("platform %s at %s: %v", e.Step, e.Peer, e.Class)
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
 }
 
-// Unwrap returns the error of this package that classifies the failure.
-func (e *CallError) Unwrap() error {
-	return e.Err
+// Unwrap returns the class and the cause.
+func (e *CallError) Unwrap() []error {
+	if e.Cause == nil {
+		return []error{e.Class}
+	}
+	return []error{e.Class, e.Cause}
 }
--- a/pkg/platform/store.go
+++ b/pkg/objectstore/store.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"context"
@@ -53,10 +53,11 @@
 	Delete(ctx context.Context, kind, name string, ifVersion uint64) error
 	// Watch waits for events of a kind after a version. It returns an empty
 	// slice when the platform's waiting time ends, and the version to go on from.
-	// It fails with ErrForgotten when the platform no longer keeps the events since
+	// It fails with ErrHistoryGone when the platform no longer keeps the events since
 	// that version; List then gives the objects and a version to go on from.
 	Watch(ctx context.Context, kind string, after uint64) ([]Event, uint64, error)
-	// VMs waits for a list of VMs newer than after and returns it. The answer may
-	// have the same version when the waiting time ended.
-	VMs(ctx context.Context, after uint64) (api.VMList, error)
+	// VMs waits for a list of VMs that was written after a version of the store and
+	// returns it, and the version to go on from. The list is empty and has version 0
+	// when the waiting time ended without one. A call from version 0 does not wait.
+	VMs(ctx context.Context, after uint64) (api.VMList, uint64, error)
 }
--- a/pkg/operator/answer.go
+++ b/pkg/operator/answer.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/fireflychute/fireflychute/pkg/platform"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 )
 
 // retryAfterSeconds is the advice when the platform gives none.
@@ -62,7 +62,7 @@
 		answer.Code = CodeUnknownOutcome
 		answer.Message = "the change may have been accepted; repeat it with the same operation id: " + err.Error()
 	}
-	var call *platform.CallError
+	var call *objectstore.CallError
 	if errors.As(err, &call) && call.RetryAfter > 0 {
 		answer.RetryAfterSeconds = int((call.RetryAfter + time.Second - 1) / time.Second)
 	}
--- a/pkg/operator/collect.go
+++ b/pkg/operator/collect.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
-	"github.com/fireflychute/fireflychute/pkg/platform"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 )
 
 // Unused is what a collection found unused: the blobs' versions by name. The
@@ -40,11 +40,11 @@
 // finds the blob gone and creates it again before it commits.
 //
 // The manifest's update raises the revision once for each call that deletes
-// something. A platform.ErrConflict means that an apply was faster; the next call
+// something. A objectstore.ErrConflict means that an apply was faster; the next call
 // tries again. After a failure the returned collection is still to be kept.
-func CollectBlobs(ctx context.Context, store platform.Store, before Unused, limit int) (Collection, error) {
+func CollectBlobs(ctx context.Context, store objectstore.Store, before Unused, limit int) (Collection, error) {
 	collection := Collection{Unused: before}
-	blobs, _, err := store.List(ctx, platform.KindBlob)
+	blobs, _, err := store.List(ctx, objectstore.KindBlob)
 	if err != nil {
 		return collection, errors.Wrap(err, "collect blobs")
 	}
@@ -62,11 +62,11 @@
 		return collection, errors.Wrap(err, "collect blobs")
 	}
 	for name, version := range doomed {
-		err := store.Delete(ctx, platform.KindBlob, name, version)
+		err := store.Delete(ctx, objectstore.KindBlob, name, version)
 		switch {
 		case err == nil:
 			collection.Deleted++
-		case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrNotFound):
+		case errors.Is(err, objectstore.ErrConflict), errors.Is(err, objectstore.ErrNotFound):
 			// An apply touched the blob, or another collector removed it.
 		default:
 			return collection, errors.Wrap(err, "collect blobs")
@@ -76,7 +76,7 @@
 	return collection, nil
 }
 
-func findUnused(blobs []platform.Object, manifest api.Manifest) Unused {
+func findUnused(blobs []objectstore.Object, manifest api.Manifest) Unused {
 	used := map[string]bool{}
 	for _, entry := range manifest.Entries {
 		used[entry.Digest] = true
@@ -105,12 +105,12 @@
 }
 
 // fence makes the commit of every apply that was planned on an older manifest fail.
-func fence(ctx context.Context, store platform.Store, manifest api.Manifest, revision uint64) error {
+func fence(ctx context.Context, store objectstore.Store, manifest api.Manifest, revision uint64) error {
 	manifest.Operations = completeOperations(manifest.Operations, revision)
 	value, err := json.Marshal(manifest)
 	if err != nil {
 		return errors.Wrap(err, "encode manifest")
 	}
-	_, err = store.Update(ctx, platform.KindManifest, platform.ManifestName, value, revision)
+	_, err = store.Update(ctx, objectstore.KindManifest, objectstore.ManifestName, value, revision)
 	return err
 }
--- a/pkg/operator/collect_test.go
+++ b/pkg/operator/collect_test.go
@@ -8,9 +8,9 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 	"github.com/fireflychute/fireflychute/pkg/operator"
 	"github.com/fireflychute/fireflychute/pkg/operator/operatortest"
-	"github.com/fireflychute/fireflychute/pkg/platform"
 )
 
 // orphaned returns a fixture that holds an unused blob: the spec of the service
@@ -47,7 +47,7 @@
 		for range 2 {
 			collection, err := operator.CollectBlobs(context.Background(), f.store, unused, 100)
 			if err != nil {
-				f.Expect(err).To(MatchError(platform.ErrConflict))
+				f.Expect(err).To(MatchError(objectstore.ErrConflict))
 			}
 			unused = collection.Unused
 		}
--- a/pkg/operator/commit.go
+++ b/pkg/operator/commit.go
@@ -12,7 +12,7 @@
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/configuration"
 	"github.com/fireflychute/fireflychute/pkg/declare"
-	"github.com/fireflychute/fireflychute/pkg/platform"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 )
 
 const (
@@ -42,7 +42,7 @@
 
 // committer turns changes into commits.
 type committer struct {
-	store   platform.Store
+	store   objectstore.Store
 	backend Backend
 	now     func() time.Time
 	// committed is told of each commit; may be nil.
@@ -79,7 +79,7 @@
 		}
 		var result ApplyResult
 		result, err = c.attempt(ctx, change, from, uncertain)
-		uncertain = uncertain || errors.Is(err, platform.ErrUnknownOutcome)
+		uncertain = uncertain || errors.Is(err, objectstore.ErrUnknownOutcome)
 		if !planAgain(err) {
 			return result, err
 		}
@@ -90,7 +90,7 @@
 // planAgain tells whether an error asks for another attempt on the newest
 // manifest. After a lost answer the manifest also shows whether the commit happened.
 func planAgain(err error) bool {
-	return errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnknownOutcome)
+	return errors.Is(err, objectstore.ErrConflict) || errors.Is(err, objectstore.ErrUnknownOutcome)
 }
 
 // checkBase refuses a change whose condition does not hold on the base.
@@ -114,8 +114,8 @@
 	return nil
 }
 
-// attempt plans a change on one base and commits it. platform.ErrConflict and
-// platform.ErrUnknownOutcome ask for a new base; other errors are of type *Error.
+// attempt plans a change on one base and commits it. objectstore.ErrConflict and
+// objectstore.ErrUnknownOutcome ask for a new base; other errors are of type *Error.
 func (c *committer) attempt(ctx context.Context, change change, from base, uncertain bool) (ApplyResult, error) {
 	p := newPlan(from, change)
 	err := c.check(from, &p)
@@ -189,9 +189,9 @@
 		}
 	}
 	if from.revision == 0 {
-		return c.store.Create(ctx, platform.KindManifest, platform.ManifestName, value)
+		return c.store.Create(ctx, objectstore.KindManifest, objectstore.ManifestName, value)
 	}
-	return c.store.Update(ctx, platform.KindManifest, platform.ManifestName, value, from.revision)
+	return c.store.Update(ctx, objectstore.KindManifest, objectstore.ManifestName, value, from.revision)
 }
 
 // errBlobGone tells that the manifest was replaced, and a blob of it collected,
@@ -221,8 +221,8 @@
 	if ok {
 		return spec, nil
 	}
-	object, err := c.store.Get(ctx, platform.KindBlob, digest)
-	if errors.Is(err, platform.ErrNotFound) {
+	object, err := c.store.Get(ctx, objectstore.KindBlob, digest)
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return nil, errBlobGone
 	}
 	return object.Value, err
@@ -230,7 +230,7 @@
 
 // repeated answers an operation that is already committed.
 func (c *committer) repeated(ctx context.Context, change change, record operationRecord) (ApplyResult, error) {
-	object, err := c.store.Get(ctx, platform.KindBlob, record.outcome)
+	object, err := c.store.Get(ctx, objectstore.KindBlob, record.outcome)
 	if err != nil {
 		return ApplyResult{}, platformError(change, err, true)
 	}
--- a/pkg/operator/fixture_test.go
+++ b/pkg/operator/fixture_test.go
@@ -12,9 +12,9 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 	"github.com/fireflychute/fireflychute/pkg/operator"
 	"github.com/fireflychute/fireflychute/pkg/operator/operatortest"
-	"github.com/fireflychute/fireflychute/pkg/platform"
 )
 
 // fixture is a resource API on fakes, with a small configuration applied.
@@ -91,13 +91,13 @@
 	hook := f.store.OnCall
 	f.store.OnCall = nil
 	defer func() { f.store.OnCall = hook }()
-	object, err := f.store.Get(context.Background(), platform.KindManifest, platform.ManifestName)
+	object, err := f.store.Get(context.Background(), objectstore.KindManifest, objectstore.ManifestName)
 	f.Expect(err).NotTo(HaveOccurred())
 	var manifest api.Manifest
 	f.Expect(json.Unmarshal(object.Value, &manifest)).To(Succeed())
 	specs := map[string]string{}
 	for key, entry := range manifest.Entries {
-		blob, err := f.store.Get(context.Background(), platform.KindBlob, entry.Digest)
+		blob, err := f.store.Get(context.Background(), objectstore.KindBlob, entry.Digest)
 		f.Expect(err).NotTo(HaveOccurred(), "manifest refers to a missing blob: "+key)
 		specs[key] = string(blob.Value)
 	}
--- a/pkg/operator/operatortest/backend.go
+++ b/pkg/operator/operatortest/backend.go
@@ -7,14 +7,14 @@
 
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/configuration"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 	"github.com/fireflychute/fireflychute/pkg/operator"
-	"github.com/fireflychute/fireflychute/pkg/platform"
 )
 
 // Backend implements operator.Backend. Its configuration is what the store held
 // at the last Sync. The fields are to be set before its use.
 type Backend struct {
-	Store       platform.Store
+	Store       objectstore.Store
 	Statuses    map[string]json.RawMessage // by kind/name
 	FleetStatus *api.FleetStatus
 	Members     []api.NodeStatus
@@ -32,7 +32,7 @@
 
 // Sync takes over the configuration that the store holds and wakes watches.
 func (b *Backend) Sync(ctx context.Context) error {
-	object, err := b.Store.Get(ctx, platform.KindManifest, platform.ManifestName)
+	object, err := b.Store.Get(ctx, objectstore.KindManifest, objectstore.ManifestName)
 	if err != nil {
 		return err
 	}
@@ -42,7 +42,7 @@
 		return err
 	}
 	for _, entry := range next.Manifest.Entries {
-		blob, err := b.Store.Get(ctx, platform.KindBlob, entry.Digest)
+		blob, err := b.Store.Get(ctx, objectstore.KindBlob, entry.Digest)
 		if err != nil {
 			return err
 		}
--- a/pkg/operator/operatortest/store.go
+++ b/pkg/operator/operatortest/store.go
@@ -9,7 +9,7 @@
 	"sync"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
-	"github.com/fireflychute/fireflychute/pkg/platform"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 )
 
 // Fault is what happens to one call of the store.
@@ -18,17 +18,17 @@
 // Faults of a call.
 const (
 	None Fault = iota
-	// Down refuses the call with platform.ErrUnavailable.
+	// Down refuses the call with objectstore.ErrUnavailable.
 	Down
-	// Limited refuses the call with platform.ErrRateLimited.
+	// Limited refuses the call with objectstore.ErrRateLimited.
 	Limited
-	// LostRequest fails a write with platform.ErrUnknownOutcome before it takes effect.
+	// LostRequest fails a write with objectstore.ErrUnknownOutcome before it takes effect.
 	LostRequest
-	// LostAnswer fails a write with platform.ErrUnknownOutcome after it took effect.
+	// LostAnswer fails a write with objectstore.ErrUnknownOutcome after it took effect.
 	LostAnswer
 )
 
-// Store implements platform.Store in memory.
+// Store implements objectstore.Store in memory.
 type Store struct {
 	// OnCall, when set, is called before each call with its step, for example
 	// "update manifest", and chooses the fault. It may call the store itself.
@@ -36,40 +36,40 @@
 
 	mu      sync.Mutex
 	version uint64
-	objects map[string]platform.Object
+	objects map[string]objectstore.Object
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ objectstore.Store = (*Store)(nil)
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{objects: map[string]platform.Object{}}
+	return &Store{objects: map[string]objectstore.Object{}}
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(_ context.Context, kind, name string) (platform.Object, error) {
+// Get implements objectstore.Store.
+func (s *Store) Get(_ context.Context, kind, name string) (objectstore.Object, error) {
 	err := s.readFault("get " + kind)
 	if err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	object, ok := s.objects[kind+"/"+name]
 	if !ok {
-		return object, failure("get "+kind, platform.ErrNotFound)
+		return object, failure("get "+kind, objectstore.ErrNotFound)
 	}
 	return object, nil
 }
 
-// List implements platform.Store.
-func (s *Store) List(_ context.Context, kind string) ([]platform.Object, uint64, error) {
+// List implements objectstore.Store.
+func (s *Store) List(_ context.Context, kind string) ([]objectstore.Object, uint64, error) {
 	err := s.readFault("list " + kind)
 	if err != nil {
 		return nil, 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	found := []platform.Object{}
+	found := []objectstore.Object{}
 	for _, object := range s.objects {
 		if object.Kind == kind {
 			found = append(found, object)
@@ -79,33 +79,33 @@
 	return found, s.version, nil
 }
 
-// Create implements platform.Store.
+// Create implements objectstore.Store.
 func (s *Store) Create(_ context.Context, kind, name string, value []byte) (uint64, error) {
-	return s.write("create "+kind, platform.Object{Kind: kind, Name: name, Value: value}, 0)
+	return s.write("create "+kind, objectstore.Object{Kind: kind, Name: name, Value: value}, 0)
 }
 
-// Update implements platform.Store.
+// Update implements objectstore.Store.
 func (s *Store) Update(_ context.Context, kind, name string, value []byte, ifVersion uint64) (uint64, error) {
-	return s.write("update "+kind, platform.Object{Kind: kind, Name: name, Value: value}, ifVersion)
+	return s.write("update "+kind, objectstore.Object{Kind: kind, Name: name, Value: value}, ifVersion)
 }
 
-// Delete implements platform.Store.
+// Delete implements objectstore.Store.
 func (s *Store) Delete(_ context.Context, kind, name string, ifVersion uint64) error {
-	_, err := s.write("delete "+kind, platform.Object{Kind: kind, Name: name}, ifVersion)
+	_, err := s.write("delete "+kind, objectstore.Object{Kind: kind, Name: name}, ifVersion)
 	return err
 }
 
-// Watch implements platform.Store without waiting.
-func (s *Store) Watch(context.Context, string, uint64) ([]platform.Event, uint64, error) {
-	return nil, 0, failure("watch", platform.ErrUnavailable)
+// Watch implements objectstore.Store without waiting.
+func (s *Store) Watch(context.Context, string, uint64) ([]objectstore.Event, uint64, error) {
+	return nil, 0, failure("watch", objectstore.ErrUnavailable)
 }
 
-// VMs implements platform.Store without waiting.
-func (s *Store) VMs(context.Context, uint64) (api.VMList, error) {
-	return api.VMList{}, failure("list VMs", platform.ErrUnavailable)
+// VMs implements objectstore.Store without waiting.
+func (s *Store) VMs(context.Context, uint64) (api.VMList, uint64, error) {
+	return api.VMList{}, 0, failure("list VMs", objectstore.ErrUnavailable)
 }
 
-func (s *Store) write(step string, object platform.Object, ifVersion uint64) (uint64, error) {
+func (s *Store) write(step string, object objectstore.Object, ifVersion uint64) (uint64, error) {
 	fault := s.fault(step)
 	err := errorOf(step, fault)
 	if err != nil && fault != LostAnswer {
@@ -119,12 +119,12 @@
 }
 
 // store applies a write; an object without a value is deleted.
-func (s *Store) store(step string, object platform.Object, ifVersion uint64) (uint64, error) {
+func (s *Store) store(step string, object objectstore.Object, ifVersion uint64) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	key := object.Kind + "/" + object.Name
 	if s.objects[key].Version != ifVersion {
-		return 0, failure(step, platform.ErrConflict)
+		return 0, failure(step, objectstore.ErrConflict)
 	}
 	s.version++
 	object.Version = s.version
@@ -149,16 +149,16 @@
 func errorOf(step string, fault Fault) error {
 	switch fault {
 	case Down:
-		return failure(step, platform.ErrUnavailable)
+		return failure(step, objectstore.ErrUnavailable)
 	case Limited:
-		return failure(step, platform.ErrRateLimited)
+		return failure(step, objectstore.ErrRateLimited)
 	case LostRequest, LostAnswer:
-		return failure(step, platform.ErrUnknownOutcome)
+		return failure(step, objectstore.ErrUnknownOutcome)
 	default:
 		return nil
 	}
 }
 
 func failure(step string, err error) error {
-	return &platform.CallError{Step: step, Peer: "fake", Err: err}
+	return &objectstore.CallError{Step: step, Peer: "fake", Class: err}
 }
--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
-	"github.com/fireflychute/fireflychute/pkg/platform"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 )
 
 const (
@@ -20,7 +20,7 @@
 // Options is what a server works with.
 type Options struct {
 	// Store is the platform. Writes go to it directly.
-	Store platform.Store
+	Store objectstore.Store
 	// Backend is the node's control state.
 	Backend Backend
 	// Committed is told of each change that this server committed, with all specs by
--- a/testbed/capacity/calls.go
+++ b/testbed/capacity/calls.go
@@ -5,7 +5,7 @@
 	"sync"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
-	client "github.com/fireflychute/fireflychute/pkg/platform"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 )
 
 // Mechanisms that call the platform.
@@ -23,8 +23,8 @@
 var mechanisms = []string{callLease, callWatch, callRead, callStatus, callBlob, callManifest, callDuplicate}
 
 var mechanismOf = map[string]string{
-	client.KindLease: callLease, client.KindBlob: callBlob, client.KindManifest: callRead, client.KindRequest: callDuplicate,
-	client.KindRolloutStatus: callStatus, client.KindDataCentreStatus: callStatus, client.KindFleetStatus: callStatus,
+	objectstore.KindLease: callLease, objectstore.KindBlob: callBlob, objectstore.KindManifest: callRead, objectstore.KindRequest: callDuplicate,
+	objectstore.KindRolloutStatus: callStatus, objectstore.KindDataCentreStatus: callStatus, objectstore.KindFleetStatus: callStatus,
 }
 
 // callCounter counts the calls of all nodes by mechanism.
@@ -37,7 +37,7 @@
 	return &callCounter{reads: map[string]int{}, writes: map[string]int{}}
 }
 
-func (c *callCounter) wrap(store client.Store) client.Store { return countingStore{store, c} }
+func (c *callCounter) wrap(store objectstore.Store) objectstore.Store { return countingStore{store, c} }
 
 func (c *callCounter) read(mechanism string) {
 	c.mu.Lock()
@@ -62,48 +62,48 @@
 
 // countingStore counts the calls that one node makes.
 type countingStore struct {
-	store   client.Store
+	store   objectstore.Store
 	counter *callCounter
 }
 
-// Get implements platform.Store.
-func (s countingStore) Get(ctx context.Context, kind, name string) (client.Object, error) {
+// Get implements objectstore.Store.
+func (s countingStore) Get(ctx context.Context, kind, name string) (objectstore.Object, error) {
 	s.counter.read(mechanismOf[kind])
 	return s.store.Get(ctx, kind, name)
 }
 
-// List implements platform.Store.
-func (s countingStore) List(ctx context.Context, kind string) ([]client.Object, uint64, error) {
+// List implements objectstore.Store.
+func (s countingStore) List(ctx context.Context, kind string) ([]objectstore.Object, uint64, error) {
 	s.counter.read(mechanismOf[kind])
 	return s.store.List(ctx, kind)
 }
 
-// Create implements platform.Store.
+// Create implements objectstore.Store.
 func (s countingStore) Create(ctx context.Context, kind, name string, value []byte) (uint64, error) {
 	s.counter.write(writer(kind))
 	return s.store.Create(ctx, kind, name, value)
 }
 
-// Update implements platform.Store.
+// Update implements objectstore.Store.
 func (s countingStore) Update(ctx context.Context, kind, name string, value []byte, ifVersion uint64) (uint64, error) {
 	s.counter.write(writer(kind))
 	return s.store.Update(ctx, kind, name, value, ifVersion)
 }
 
-// Delete implements platform.Store.
+// Delete implements objectstore.Store.
 func (s countingStore) Delete(ctx context.Context, kind, name string, ifVersion uint64) error {
 	s.counter.write(writer(kind))
 	return s.store.Delete(ctx, kind, name, ifVersion)
 }
 
-// Watch implements platform.Store.
-func (s countingStore) Watch(ctx context.Context, kind string, after uint64) ([]client.Event, uint64, error) {
+// Watch implements objectstore.Store.
+func (s countingStore) Watch(ctx context.Context, kind string, after uint64) ([]objectstore.Event, uint64, error) {
 	s.counter.read(callWatch)
 	return s.store.Watch(ctx, kind, after)
 }
 
-// VMs implements platform.Store. A read from version 0 does not wait.
-func (s countingStore) VMs(ctx context.Context, after uint64) (api.VMList, error) {
+// VMs implements objectstore.Store. A read from version 0 does not wait.
+func (s countingStore) VMs(ctx context.Context, after uint64) (api.VMList, uint64, error) {
 	if after == 0 {
 		s.counter.read(callRead)
 	} else {
@@ -113,7 +113,7 @@
 }
 
 func writer(kind string) string {
-	if kind == client.KindManifest {
+	if kind == objectstore.KindManifest {
 		return callManifest
 	}
 	return mechanismOf[kind]
--- a/testbed/capacity/capacity_test.go
+++ b/testbed/capacity/capacity_test.go
@@ -7,8 +7,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
-	client "github.com/fireflychute/fireflychute/pkg/platform"
-	"github.com/fireflychute/fireflychute/testbed/platform"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
+	"github.com/fireflychute/fireflychute/testbed/metastore"
 )
 
 // Guards against a wrong slope, and against a curve that is reported as a line.
@@ -35,12 +35,12 @@
 func TestCallsAreCountedByMechanism(t *testing.T) {
 	g := NewWithT(t)
 	counter := newCallCounter()
-	store := counter.wrap(platform.Direct{Server: platform.NewServer(unlimited, unlimited)})
-	_, err := store.Create(t.Context(), client.KindLease, "x", nil)
+	store := counter.wrap(metastore.Direct(metastore.NewServer(metastore.New()), nil))
+	_, err := store.Create(t.Context(), objectstore.KindLease, "x", nil)
 	g.Expect(err).NotTo(HaveOccurred())
-	_, err = store.Get(t.Context(), client.KindLease, "x")
+	_, err = store.Get(t.Context(), objectstore.KindLease, "x")
 	g.Expect(err).NotTo(HaveOccurred())
-	_, err = store.Create(t.Context(), client.KindManifest, client.ManifestName, nil)
+	_, err = store.Create(t.Context(), objectstore.KindManifest, objectstore.ManifestName, nil)
 	g.Expect(err).NotTo(HaveOccurred())
 	steady := map[string]float64{"leases, read": 0.5}
 	g.Expect(counter.perUnit(2, steady, 1)).To(Equal(map[string]float64{
--- a/testbed/capacity/live.go
+++ b/testbed/capacity/live.go
@@ -6,10 +6,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 	"github.com/fireflychute/fireflychute/pkg/operator"
-	client "github.com/fireflychute/fireflychute/pkg/platform"
 	"github.com/fireflychute/fireflychute/testbed/fleet"
-	"github.com/fireflychute/fireflychute/testbed/platform"
+	"github.com/fireflychute/fireflychute/testbed/metastore"
 )
 
 const (
@@ -29,9 +29,9 @@
 }
 
 // startFleet starts a fleet and waits until all nodes are ready. wrap may be nil.
-func startFleet(nodes int, wrap func(client.Store) client.Store) (*live, error) {
+func startFleet(nodes int, wrap func(objectstore.Store) objectstore.Store) (*live, error) {
 	l := &live{Fleet: fleet.New()}
-	l.Platform = platform.NewServer(unlimited, unlimited)
+	l.Platform = metastore.NewServer(metastore.New())
 	l.Wrap = wrap
 	l.Start(nodes)
 	l.ListVMs(targetVMs(liveTargets, liveServices))
--- a/testbed/capacity/node.go
+++ b/testbed/capacity/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -17,10 +16,10 @@
 	"github.com/fireflychute/fireflychute/pkg/explain"
 	"github.com/fireflychute/fireflychute/pkg/membership"
 	"github.com/fireflychute/fireflychute/pkg/message"
-	client "github.com/fireflychute/fireflychute/pkg/platform"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
 	"github.com/fireflychute/fireflychute/testbed/fleet"
-	"github.com/fireflychute/fireflychute/testbed/platform"
+	"github.com/fireflychute/fireflychute/testbed/metastore"
 )
 
 const (
@@ -51,28 +50,28 @@
 }
 
 // newPlatform returns a stand-in that holds a declaration and a list of VMs.
-func newPlatform(s size) (*platform.Server, error) {
-	server := platform.NewServer(unlimited, unlimited)
-	store := platform.Direct{Server: server}
+func newPlatform(s size) (*metastore.Server, error) {
+	server := metastore.NewServer(metastore.New())
+	store := metastore.Direct(server, nil)
 	manifest, blobs := manifestOf(declaration(s.services))
 	for digest, blob := range blobs {
-		_, err := store.Create(context.Background(), client.KindBlob, digest, blob)
+		_, err := store.Create(context.Background(), objectstore.KindBlob, digest, blob)
 		if err != nil {
 			return nil, err
 		}
 	}
-	_, err := store.Create(context.Background(), client.KindManifest, client.ManifestName, encode(manifest))
+	_, err := store.Create(context.Background(), objectstore.KindManifest, objectstore.ManifestName, encode(manifest))
 	server.SetVMs(append(targetVMs(s.targets, s.services), nodeVMs(s.nodes)...))
 	return server, err
 }
 
 // startNode starts a node and waits until it is ready.
-func startNode(server *platform.Server, s size) (*node, error) {
+func startNode(server *metastore.Server, s size) (*node, error) {
 	n := &node{size: s, targets: targetVMs(s.targets, s.services), stopped: make(chan struct{})}
 	n.controller = control.New(control.Options{
 		Self:      membership.Member{Name: selfName, Address: peerAddress(0), DataCentre: fleet.DataCentres[0], Incarnation: 1},
 		Seeds:     []string{peerAddress(1)},
-		Store:     copyingStore{platform.Direct{Server: server}},
+		Store:     metastore.Direct(server, nil),
 		Peers:     answeringPeers{n},
 		Published: &n.published,
 		Probe:     noProbe{},
@@ -166,21 +165,6 @@
 	return message.Message{}, errors.New("peers hold no documents")
 }
 
-// copyingStore copies the list of VMs through its encoding, as the real client
-// does, so that a node's memory includes its own copy.
-type copyingStore struct{ platform.Direct }
-
-// VMs implements platform.Store.
-func (s copyingStore) VMs(ctx context.Context, after uint64) (api.VMList, error) {
-	list, err := s.Direct.VMs(ctx, after)
-	if err != nil {
-		return list, err
-	}
-	var copied api.VMList
-	err = json.Unmarshal(encode(list), &copied)
-	return copied, err
-}
-
 // noProbe fails every probe without a cost.
 type noProbe struct{}
 
--- a/testbed/cmd/platform/main.go
+++ b/testbed/cmd/platform/main.go
@@ -9,7 +9,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
 
-	"github.com/fireflychute/fireflychute/testbed/platform"
+	"github.com/fireflychute/fireflychute/testbed/metastore"
 )
 
 type options struct {
@@ -27,7 +27,7 @@
 	}
 	server := http.Server{
 		Addr:              opts.Listen,
-		Handler:           platform.NewServer(opts.ReadRate, opts.WriteRate),
+		Handler:           metastore.NewLimitedServer(metastore.New(), opts.ReadRate, opts.WriteRate),
 		ReadHeaderTimeout: 5 * time.Second,
 	}
 	err = server.ListenAndServe()
--- a/testbed/edge/edge_test.go
+++ b/testbed/edge/edge_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"math"
 	"net/http"
 	"slices"
 	"sync"
@@ -28,9 +29,9 @@
 	w.g.Expect(w.callAll()).To(Equal(w.each(http.StatusOK)))
 	w.g.Eventually(func() int { objects, _ := w.store.List("fireflychute-nodes"); return len(objects) }, applied).Should(Equal(6))
 	time.Sleep(time.Second) // the plans of all nodes settle
-	before := w.server.Calls()[http.MethodGet]
+	before := w.server.Counts().Reads
 	time.Sleep(2 * time.Second)
-	w.g.Expect(w.server.Calls()[http.MethodGet]-before).To(BeNumerically("<=", 2*6*2), "two nodes watch six kinds, each answer takes 2 s or more")
+	w.g.Expect(w.server.Counts().Reads-before).To(BeNumerically("<=", 2*6*2), "two nodes watch six kinds, each answer takes 2 s or more")
 }
 
 // Guards (P10) against a configuration that does not come into force on all nodes, or
@@ -106,7 +107,7 @@
 // entries ran out meanwhile, or hides changes made after it.
 func TestStoreOutage(t *testing.T) {
 	for name, faults := range map[string]metastore.Faults{
-		"refuses": {Status: http.StatusServiceUnavailable},
+		"refuses": {Down: true},
 		"silent":  {Silent: true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -136,7 +137,7 @@
 // Guards against a write whose answer was lost being repeated blindly, or never made.
 func TestLostAnswersOfWrites(t *testing.T) {
 	w := newWorld(t, 3, 2)
-	w.server.SetFaults(metastore.Faults{LoseWrites: true})
+	w.server.SetFaults(metastore.Faults{LoseAnswers: math.MaxInt})
 	w.start()
 	w.g.Eventually(func() int { objects, _ := w.store.List("fireflychute-nodes"); return len(objects) }, applied).Should(Equal(3))
 	w.g.Expect(w.callAll()).To(Equal(w.each(http.StatusOK)))
--- a/testbed/fleet/configuration_test.go
+++ b/testbed/fleet/configuration_test.go
@@ -10,7 +10,7 @@
 	"github.com/fireflychute/fireflychute/internal/faultmatrix"
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/testbed/fleet"
-	"github.com/fireflychute/fireflychute/testbed/platform"
+	"github.com/fireflychute/fireflychute/testbed/metastore"
 )
 
 // Guards against a change that some node does not apply within the time that the
@@ -22,8 +22,8 @@
 	faultmatrix.Proves(t, faultmatrix.NodeKilled, faultmatrix.ConfigAnnounce, faultmatrix.ConfigFetch, faultmatrix.ConfigApply)
 	faults := map[string]func(f *fleet.Fleet){
 		"no fault":                 func(*fleet.Fleet) {},
-		"answer of a write lost":   func(f *fleet.Fleet) { f.Platform.SetFaults(platform.Faults{LoseAnswers: 2}) },
-		"platform slow":            func(f *fleet.Fleet) { f.Platform.SetFaults(platform.Faults{DelayMs: 400}) },
+		"answer of a write lost":   func(f *fleet.Fleet) { f.Platform.SetFaults(metastore.Faults{LoseAnswers: 2}) },
+		"platform slow":            func(f *fleet.Fleet) { f.Platform.SetFaults(metastore.Faults{DelayMs: 400}) },
 		"watchers cut off":         cutOffWatchers,
 		"a third of the nodes cut": func(f *fleet.Fleet) { cutOffEach(f, 3) },
 		"a node killed":            func(f *fleet.Fleet) { f.Kill(f.Nodes[5]); f.Nodes = append(f.Nodes[:5:5], f.Nodes[6:]...) },
@@ -79,13 +79,13 @@
 			func() { f.Nodes[0].Apply(workKind(600)) },
 			func() { f.Cut(half) },
 			func() { f.Nodes[1].Apply(workKind(601)) },
-			func() { f.Platform.SetFaults(platform.Faults{LoseAnswers: 3}) },
+			func() { f.Platform.SetFaults(metastore.Faults{LoseAnswers: 3}) },
 			func() { f.Nodes[2].Apply(workKind(602)) },
 			func() { f.Heal() },
-			func() { f.Platform.SetFaults(platform.Faults{Down: true}) },
+			func() { f.Platform.SetFaults(metastore.Faults{Down: true}) },
 			func() { f.Kill(f.Nodes[3]); seen[3] = 0; f.Restart(f.Nodes[3]) },
 			func() { f.Cut(half) },
-			func() { f.Platform.SetFaults(platform.Faults{}) },
+			func() { f.Platform.SetFaults(metastore.Faults{}) },
 			func() { f.Nodes[4].Apply(workKind(603)) },
 			func() { f.Heal() },
 		}
@@ -125,7 +125,7 @@
 func TestNodeStartedInOutageLearnsFromPeers(t *testing.T) {
 	faultmatrix.Proves(t, faultmatrix.PlatformDown, faultmatrix.ConfigAccept, faultmatrix.ConfigFetch)
 	inFleet(t, 5, func(g *WithT, f *fleet.Fleet) {
-		f.Platform.SetFaults(platform.Faults{Down: true})
+		f.Platform.SetFaults(metastore.Faults{Down: true})
 		revision := f.Nodes[0].Revision()
 		node := f.StartNode()
 		g.Expect(fleet.WaitUntil(joinTime, func() bool { return node.Backend.Readiness().Ready })).To(BeTrue(), "%v", node.Backend.Readiness())
@@ -141,7 +141,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := fleet.New()
-		f.Platform.SetFaults(platform.Faults{Down: true})
+		f.Platform.SetFaults(metastore.Faults{Down: true})
 		f.Start(1)
 		defer f.StopAll()
 		time.Sleep(time.Minute)
@@ -155,7 +155,7 @@
 	faultmatrix.Proves(t, faultmatrix.PlatformDown, faultmatrix.RequestChoose)
 	faultmatrix.Proves(t, faultmatrix.NodeCutFromPeers, faultmatrix.RequestChoose)
 	inFleet(t, 5, func(g *WithT, f *fleet.Fleet) {
-		f.Platform.SetFaults(platform.Faults{Down: true})
+		f.Platform.SetFaults(metastore.Faults{Down: true})
 		time.Sleep(time.Minute)
 		g.Expect(allReady(f)).To(BeTrue(), "an outage of the platform alone must not stop the nodes")
 		lonely := f.Nodes[2]
@@ -198,12 +198,12 @@
 	faultmatrix.Proves(t, faultmatrix.AnswerLost, faultmatrix.ConfigStore)
 	for lost := 1; lost <= 5; lost++ {
 		inFleet(t, 3, func(g *WithT, f *fleet.Fleet) {
-			f.Platform.SetFaults(platform.Faults{LoseAnswers: lost})
+			f.Platform.SetFaults(metastore.Faults{LoseAnswers: lost})
 			request := workKind(650)
 			request.Operation = "change-1"
 			code, _ := f.Nodes[0].Apply(request)
 			g.Expect(code).To(BeElementOf(200, 503), "a lost answer is no conflict")
-			f.Platform.SetFaults(platform.Faults{})
+			f.Platform.SetFaults(metastore.Faults{})
 			code, result := f.Nodes[1].Apply(request)
 			g.Expect(code).To(Equal(200))
 			g.Expect(fleet.WaitUntil(inForceLimit, func() bool { return allAt(f, result.Revision) })).To(BeTrue())
@@ -236,7 +236,7 @@
 func TestCommittedChangeNeedsNoReads(t *testing.T) {
 	inFleet(t, 5, func(g *WithT, f *fleet.Fleet) {
 		code, result := f.Nodes[0].Apply(workKind(670))
-		f.Platform.SetFaults(platform.Faults{RefuseByRate: true})
+		f.Platform.SetFaults(metastore.Faults{RefuseByRate: true})
 		g.Expect(code).To(Equal(200))
 		g.Expect(fleet.WaitUntil(inForceLimit, func() bool { return allAt(f, result.Revision) })).To(BeTrue())
 	})
--- a/testbed/fleet/controller_test.go
+++ b/testbed/fleet/controller_test.go
@@ -11,16 +11,16 @@
 
 	"github.com/fireflychute/fireflychute/internal/faultmatrix"
 	"github.com/fireflychute/fireflychute/pkg/api"
-	"github.com/fireflychute/fireflychute/pkg/platform"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 	"github.com/fireflychute/fireflychute/testbed/fleet"
-	stand "github.com/fireflychute/fireflychute/testbed/platform"
+	"github.com/fireflychute/fireflychute/testbed/metastore"
 )
 
 // holder returns the node that holds the controller lease by the platform.
 func holder(f *fleet.Fleet) *fleet.Node {
 	var record api.LeaseRecord
-	for _, event := range f.Platform.History(0) {
-		if event.Object.Kind == platform.KindLease && event.Object.Name == "controller" {
+	for _, event := range f.Platform.Store.History(0) {
+		if event.Object.Kind == objectstore.KindLease && event.Object.Name == "controller" {
 			_ = json.Unmarshal(event.Object.Value, &record)
 		}
 	}
@@ -55,10 +55,10 @@
 	for _, node := range l.f.Nodes {
 		shares[node.Name] = newShare(node)
 	}
-	for _, event := range l.f.Platform.History(l.version) {
+	for _, event := range l.f.Platform.Store.History(l.version) {
 		l.version = event.Object.Version
 		switch event.Object.Kind {
-		case platform.KindRolloutStatus, platform.KindDataCentreStatus, platform.KindFleetStatus:
+		case objectstore.KindRolloutStatus, objectstore.KindDataCentreStatus, objectstore.KindFleetStatus:
 			var status struct {
 				Epoch int `json:"epoch"`
 			}
@@ -67,7 +67,7 @@
 			l.g.Expect(status.Epoch).To(BeNumerically(">=", l.epochs[key]), "write of an old holder took effect")
 			l.epochs[key] = status.Epoch
 		}
-		if event.Object.Kind == platform.KindRolloutStatus {
+		if event.Object.Kind == objectstore.KindRolloutStatus {
 			var next api.RolloutStatus
 			l.g.Expect(json.Unmarshal(event.Object.Value, &next)).To(Succeed())
 			if l.rollout.Blocked && next.Generation == l.rollout.Generation {
@@ -134,7 +134,7 @@
 	var paused atomic.Pointer[fleet.Node]
 	prepare := func(f *fleet.Fleet) {
 		f.OnCall = func(call fleet.Call) {
-			if !counting.Load() || !call.Writes(platform.KindRolloutStatus) || call.Answered != at.answered {
+			if !counting.Load() || !call.Writes(objectstore.KindRolloutStatus) || call.Answered != at.answered {
 				return
 			}
 			if int(writes.Add(1)) == at.write {
@@ -200,11 +200,11 @@
 	}
 	outages := map[string]struct {
 		row    faultmatrix.Fault
-		faults stand.Faults
+		faults metastore.Faults
 	}{
-		"down":     {faultmatrix.PlatformDown, stand.Faults{Down: true}},
-		"refusing": {faultmatrix.PlatformRefusing, stand.Faults{RefuseByRate: true}},
-		"slow":     {faultmatrix.PlatformSlow, stand.Faults{DelayMs: 5000}},
+		"down":     {faultmatrix.PlatformDown, metastore.Faults{Down: true}},
+		"refusing": {faultmatrix.PlatformRefusing, metastore.Faults{RefuseByRate: true}},
+		"slow":     {faultmatrix.PlatformSlow, metastore.Faults{DelayMs: 5000}},
 	}
 	for name, loss := range lose {
 		for kind, outage := range outages {
@@ -228,7 +228,7 @@
 					loss.back(f, old)
 					f.Nodes = all
 					g.Expect(fleet.WaitUntil(joinTime, func() bool { return old.Published.Load() != nil && noShare(f) })).To(BeTrue())
-					f.Platform.SetFaults(stand.Faults{})
+					f.Platform.SetFaults(metastore.Faults{})
 					stored := func() bool {
 						log.check()
 						g.Expect(noShare(f)).To(BeTrue(), "the share was raised again")
--- a/testbed/fleet/faults_test.go
+++ b/testbed/fleet/faults_test.go
@@ -12,10 +12,10 @@
 
 	"github.com/fireflychute/fireflychute/internal/faultmatrix"
 	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 	"github.com/fireflychute/fireflychute/pkg/operator"
-	"github.com/fireflychute/fireflychute/pkg/platform"
 	"github.com/fireflychute/fireflychute/testbed/fleet"
-	stand "github.com/fireflychute/fireflychute/testbed/platform"
+	"github.com/fireflychute/fireflychute/testbed/metastore"
 )
 
 const (
@@ -30,7 +30,7 @@
 	f      *fleet.Fleet
 	g      *WithT
 	victim *fleet.Node
-	faults stand.Faults
+	faults metastore.Faults
 	killed []*fleet.Node
 	seen   map[*fleet.Node]uint64
 	racing bool // another operator made a change
@@ -45,7 +45,7 @@
 
 func nothing(*scene) {}
 
-func ofPlatform(row faultmatrix.Fault, set, unset func(faults *stand.Faults)) fault {
+func ofPlatform(row faultmatrix.Fault, set, unset func(faults *metastore.Faults)) fault {
 	return fault{
 		row, func(s *scene) { set(&s.faults); s.f.Platform.SetFaults(s.faults) },
 		func(s *scene) { unset(&s.faults); s.f.Platform.SetFaults(s.faults) },
@@ -62,12 +62,12 @@
 	{faultmatrix.NodeCutFromPeers, func(s *scene) { s.cut(func(n *fleet.Node) bool { return n == s.victim }) }, (*scene).heal},
 	{faultmatrix.RegionsParted, func(s *scene) { s.cut(func(n *fleet.Node) bool { return n.DataCentre == "south" }) }, (*scene).heal},
 	{faultmatrix.OperatorsRace, (*scene).race, nothing},
-	{faultmatrix.WatchForgotten, func(s *scene) { s.f.Platform.ForgetHistory() }, nothing},
-	ofPlatform(faultmatrix.PlatformDown, func(f *stand.Faults) { f.Down = true }, func(f *stand.Faults) { f.Down = false }),
-	ofPlatform(faultmatrix.PlatformSlow, func(f *stand.Faults) { f.DelayMs = 2000 }, func(f *stand.Faults) { f.DelayMs = 0 }),
-	ofPlatform(faultmatrix.PlatformRefusing, func(f *stand.Faults) { f.RefuseByRate = true }, func(f *stand.Faults) { f.RefuseByRate = false }),
-	ofPlatform(faultmatrix.AnswerLost, func(f *stand.Faults) { f.LoseAnswers = 2 }, func(f *stand.Faults) { f.LoseAnswers = 0 }),
-	ofPlatform(faultmatrix.WatchBroken, func(f *stand.Faults) { f.WatchesBroken = true }, func(f *stand.Faults) { f.WatchesBroken = false }),
+	{faultmatrix.WatchForgotten, func(s *scene) { s.f.Platform.Store.Compact() }, nothing},
+	ofPlatform(faultmatrix.PlatformDown, func(f *metastore.Faults) { f.Down = true }, func(f *metastore.Faults) { f.Down = false }),
+	ofPlatform(faultmatrix.PlatformSlow, func(f *metastore.Faults) { f.DelayMs = 2000 }, func(f *metastore.Faults) { f.DelayMs = 0 }),
+	ofPlatform(faultmatrix.PlatformRefusing, func(f *metastore.Faults) { f.RefuseByRate = true }, func(f *metastore.Faults) { f.RefuseByRate = false }),
+	ofPlatform(faultmatrix.AnswerLost, func(f *metastore.Faults) { f.LoseAnswers = 2 }, func(f *metastore.Faults) { f.LoseAnswers = 0 }),
+	ofPlatform(faultmatrix.WatchBroken, func(f *metastore.Faults) { f.WatchesBroken = true }, func(f *metastore.Faults) { f.WatchesBroken = false }),
 }
 
 func (s *scene) kill() {
@@ -176,7 +176,7 @@
 		started := false
 		// The serving node writes blobs only on the goroutine of the test.
 		onStore := func(call fleet.Call) {
-			if call.Node == f.Nodes[serving] && call.Writes(platform.KindBlob) && !started {
+			if call.Node == f.Nodes[serving] && call.Writes(objectstore.KindBlob) && !started {
 				started = true
 				begin(faultmatrix.ConfigStore)
 			}
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -17,10 +17,10 @@
 	"github.com/fireflychute/fireflychute/pkg/control"
 	"github.com/fireflychute/fireflychute/pkg/explain"
 	"github.com/fireflychute/fireflychute/pkg/membership"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 	"github.com/fireflychute/fireflychute/pkg/operator"
-	client "github.com/fireflychute/fireflychute/pkg/platform"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
-	"github.com/fireflychute/fireflychute/testbed/platform"
+	"github.com/fireflychute/fireflychute/testbed/metastore"
 )
 
 // DataCentres are the data centres over which nodes and targets are spread.
@@ -28,13 +28,13 @@
 
 // Fleet is some nodes, a platform and a network.
 type Fleet struct {
-	Platform *platform.Server
+	Platform *metastore.Server
 	Nodes    []*Node
 	network  *network
 	seeds    []string
 	starts   uint64
 	// Wrap returns the store that nodes use in place of the given one; nil keeps it.
-	Wrap func(client.Store) client.Store
+	Wrap func(objectstore.Store) objectstore.Store
 	// Log receives the nodes' log lines; nothing by default.
 	Log zerolog.Logger
 	// OnCall sees each call of a node on the platform before it is sent and after
@@ -62,7 +62,7 @@
 // New returns a fleet without nodes.
 func New() *Fleet {
 	return &Fleet{
-		Platform: platform.NewServer(platform.DefaultReadRate, platform.DefaultWriteRate),
+		Platform: metastore.NewLimitedServer(metastore.New(), metastore.DefaultReadRate, metastore.DefaultWriteRate),
 		network:  newNetwork(),
 		Log:      zerolog.Nop(),
 	}
@@ -102,7 +102,7 @@
 	f.starts++
 	node.Published = &atomic.Pointer[snapshot.Snapshot]{}
 	node.stopped = make(chan struct{})
-	var direct client.Store = platform.Direct{Server: f.Platform, Reachable: func() bool { return !node.CutOff.Load() }}
+	direct := metastore.Direct(f.Platform, func() bool { return !node.CutOff.Load() })
 	if f.Wrap != nil {
 		direct = f.Wrap(direct)
 	}
--- a/testbed/fleet/link.go
+++ b/testbed/fleet/link.go
@@ -5,7 +5,7 @@
 	"sync"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
-	"github.com/fireflychute/fireflychute/pkg/platform"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 )
 
 // Call is a call of a node on the platform, as a hook sees it.
@@ -60,7 +60,7 @@
 // link is a node's access to the platform. A paused node neither sends a call nor
 // sees an answer; a call that was sent takes effect during the pause.
 type link struct {
-	platform.Store
+	objectstore.Store
 	node *Node
 	hook func(Call)
 }
@@ -79,44 +79,44 @@
 	}
 }
 
-// Get implements platform.Store.
-func (l link) Get(ctx context.Context, kind, name string) (object platform.Object, err error) {
+// Get implements objectstore.Store.
+func (l link) Get(ctx context.Context, kind, name string) (object objectstore.Object, err error) {
 	l.around("get", kind, func() { object, err = l.Store.Get(ctx, kind, name) })
 	return object, err
 }
 
-// List implements platform.Store.
-func (l link) List(ctx context.Context, kind string) (objects []platform.Object, version uint64, err error) {
+// List implements objectstore.Store.
+func (l link) List(ctx context.Context, kind string) (objects []objectstore.Object, version uint64, err error) {
 	l.around("list", kind, func() { objects, version, err = l.Store.List(ctx, kind) })
 	return objects, version, err
 }
 
-// Create implements platform.Store.
+// Create implements objectstore.Store.
 func (l link) Create(ctx context.Context, kind, name string, value []byte) (version uint64, err error) {
 	l.around("create", kind, func() { version, err = l.Store.Create(ctx, kind, name, value) })
 	return version, err
 }
 
-// Update implements platform.Store.
+// Update implements objectstore.Store.
 func (l link) Update(ctx context.Context, kind, name string, value []byte, ifVersion uint64) (version uint64, err error) {
 	l.around("update", kind, func() { version, err = l.Store.Update(ctx, kind, name, value, ifVersion) })
 	return version, err
 }
 
-// Delete implements platform.Store.
+// Delete implements objectstore.Store.
 func (l link) Delete(ctx context.Context, kind, name string, ifVersion uint64) (err error) {
 	l.around("delete", kind, func() { err = l.Store.Delete(ctx, kind, name, ifVersion) })
 	return err
 }
 
-// Watch implements platform.Store.
-func (l link) Watch(ctx context.Context, kind string, after uint64) (events []platform.Event, version uint64, err error) {
+// Watch implements objectstore.Store.
+func (l link) Watch(ctx context.Context, kind string, after uint64) (events []objectstore.Event, version uint64, err error) {
 	l.around("watch", kind, func() { events, version, err = l.Store.Watch(ctx, kind, after) })
 	return events, version, err
 }
 
-// VMs implements platform.Store.
-func (l link) VMs(ctx context.Context, after uint64) (list api.VMList, err error) {
-	l.around("vms", "vm", func() { list, err = l.Store.VMs(ctx, after) })
-	return list, err
+// VMs implements objectstore.Store.
+func (l link) VMs(ctx context.Context, after uint64) (list api.VMList, next uint64, err error) {
+	l.around("vms", "vm", func() { list, next, err = l.Store.VMs(ctx, after) })
+	return list, next, err
 }
--- a/testbed/fleet/moves_test.go
+++ b/testbed/fleet/moves_test.go
@@ -11,7 +11,7 @@
 	"github.com/fireflychute/fireflychute/pkg/operator"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
 	"github.com/fireflychute/fireflychute/testbed/fleet"
-	"github.com/fireflychute/fireflychute/testbed/platform"
+	"github.com/fireflychute/fireflychute/testbed/metastore"
 )
 
 func moveDataCentre(name string, state api.DataCentreState) operator.ApplyRequest {
@@ -63,7 +63,7 @@
 			func() { f.StartNode() },
 			func() { f.Cut(func(address string) int { return int(address[len(address)-6]) % 2 }) },
 			func() { f.StartNode() },
-			func() { f.Platform.SetFaults(platform.Faults{Down: true}) },
+			func() { f.Platform.SetFaults(metastore.Faults{Down: true}) },
 			func() { f.Heal() },
 			func() { f.Kill(f.Nodes[3]); f.Restart(f.Nodes[3]) },
 		}
@@ -172,7 +172,7 @@
 		code, _ := f.Nodes[0].Apply(rollout(time.Now().Add(4 * time.Minute)))
 		g.Expect(code).To(Equal(200))
 		g.Expect(workUntil(f, 4*time.Minute, 0, func() bool { return newShare(f.Nodes[1]) >= 0.05 })).To(BeTrue())
-		f.Platform.SetFaults(platform.Faults{Down: true})
+		f.Platform.SetFaults(metastore.Faults{Down: true})
 		noneLeft := func() bool {
 			for _, node := range f.Nodes {
 				if newShare(node) > 0 {
@@ -185,7 +185,7 @@
 		late := f.StartNode()
 		g.Expect(fleet.WaitUntil(joinTime, func() bool { return late.Backend.Readiness().Ready })).To(BeTrue())
 		g.Expect(newShare(late)).To(BeZero())
-		f.Platform.SetFaults(platform.Faults{})
+		f.Platform.SetFaults(metastore.Faults{})
 		for range 100 {
 			work(f, 0)
 			time.Sleep(500 * time.Millisecond)
--- a/testbed/fleet/regions_test.go
+++ b/testbed/fleet/regions_test.go
@@ -13,7 +13,7 @@
 	"github.com/fireflychute/fireflychute/pkg/operator"
 	"github.com/fireflychute/fireflychute/pkg/snapshot"
 	"github.com/fireflychute/fireflychute/testbed/fleet"
-	stand "github.com/fireflychute/fireflychute/testbed/platform"
+	"github.com/fireflychute/fireflychute/testbed/metastore"
 )
 
 // Guards against a region that stays behind for good, or goes back, after it was
@@ -96,7 +96,7 @@
 	calls := func(nodes int) (count uint64) {
 		inFleet(t, nodes, func(g *WithT, f *fleet.Fleet) {
 			time.Sleep(20 * time.Second)
-			f.Platform.SetFaults(stand.Faults{RefuseByRate: true})
+			f.Platform.SetFaults(metastore.Faults{RefuseByRate: true})
 			time.Sleep(faultTime)
 			for _, node := range f.Nodes {
 				g.Expect(node.Controller.Watching()).To(BeFalse(), "a lease outlives its time")
@@ -106,7 +106,7 @@
 			after := f.Platform.Counts()
 			count = after.Reads + after.Writes - before.Reads - before.Writes
 			g.Expect(allReady(f)).To(BeTrue())
-			f.Platform.SetFaults(stand.Faults{})
+			f.Platform.SetFaults(metastore.Faults{})
 			time.Sleep(leaseLimit)
 			code, result := f.Nodes[0].Apply(workKind(700))
 			g.Expect(code).To(Equal(200))
@@ -125,7 +125,7 @@
 	faultmatrix.Proves(t, faultmatrix.OperatorsRace, faultmatrix.MovePlan, faultmatrix.MoveCommit, faultmatrix.ConfigAccept)
 	for delay := range 4 {
 		inFleet(t, 6, func(g *WithT, f *fleet.Fleet) {
-			f.Platform.SetFaults(stand.Faults{DelayMs: delay * 20})
+			f.Platform.SetFaults(metastore.Faults{DelayMs: delay * 20})
 			codes := make(chan int, len(fleet.DataCentres))
 			for i, name := range fleet.DataCentres {
 				go func() {
@@ -144,7 +144,7 @@
 				}
 			}
 			g.Expect(accepted).To(Equal(2), "refused %d", refused)
-			f.Platform.SetFaults(stand.Faults{})
+			f.Platform.SetFaults(metastore.Faults{})
 			time.Sleep(inForceLimit)
 			g.Expect(anyTarget(f, every)).To(BeTrue(), "nowhere to run")
 
--- a/testbed/fleet/start_test.go
+++ b/testbed/fleet/start_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/testbed/fleet"
-	"github.com/fireflychute/fireflychute/testbed/platform"
+	"github.com/fireflychute/fireflychute/testbed/metastore"
 )
 
 // Guards against a node that never starts because the blobs of a large
@@ -27,7 +27,7 @@
 		code, result := f.Nodes[0].Apply(request)
 		g.Expect(code).To(Equal(200))
 		f.Kill(f.Nodes[0])
-		f.Platform.SetFaults(platform.Faults{DelayMs: int(delay.Milliseconds())})
+		f.Platform.SetFaults(metastore.Faults{DelayMs: int(delay.Milliseconds())})
 		f.Restart(f.Nodes[0])
 		g.Expect(fleet.WaitUntil(joinTime, func() bool { return allReady(f) && allAt(f, result.Revision) })).To(BeTrue())
 	})
--- a/testbed/fleet/watch_test.go
+++ b/testbed/fleet/watch_test.go
@@ -23,7 +23,7 @@
 		f.Nodes[1].CutOff.Store(false)
 		code, missed := f.Nodes[1].Apply(workKind(700))
 		g.Expect(code).To(Equal(200))
-		f.Platform.ForgetHistory()
+		f.Platform.Store.Compact()
 		time.Sleep(3 * time.Second)
 		for _, node := range f.Nodes {
 			node.CutOff.Store(false)
--- a/testbed/platform/faults.go
+++ b/testbed/metastore/faults.go
@@ -1,4 +1,4 @@
-package platform
+package metastore
 
 import (
 	"sync"
@@ -9,19 +9,23 @@
 type Faults struct {
 	// Down refuses every call with 503.
 	Down bool `json:"down"`
+	// Silent calls get no answer until the caller leaves.
+	Silent bool `json:"silent"`
+	// RefuseByRate refuses every call with 429.
+	RefuseByRate bool `json:"refuseByRate"`
 	// DelayMs delays every call by this many milliseconds.
 	DelayMs int `json:"delayMs"`
 	// LoseAnswers drops the connection after this many further writes took effect.
 	LoseAnswers int `json:"loseAnswers"`
-	// WatchesBroken fails each watch of objects at once, and no other call.
+	// WatchesBroken fails each watch at once, and no other call.
 	WatchesBroken bool `json:"watchesBroken"`
-	// RefuseByRate refuses every call with 429.
-	RefuseByRate bool `json:"refuseByRate"`
+	// Deaf watches hear of no change.
+	Deaf bool `json:"deaf"`
 	// VMListLagMs delays changes of the VM list by this many milliseconds.
 	VMListLagMs int `json:"vmListLagMs"`
 }
 
-// Counts is how often the platform was called.
+// Counts is how often the platform was called. A watch counts as a read too.
 type Counts struct {
 	Reads       uint64 `json:"reads"`
 	Writes      uint64 `json:"writes"`
@@ -59,6 +63,7 @@
 // verdict is what is to be done with one call.
 type verdict struct {
 	delay      time.Duration
+	silent     bool
 	down       bool
 	limited    bool
 	loseAnswer bool
@@ -74,8 +79,8 @@
 	} else {
 		g.counts.Reads++
 	}
-	v := verdict{delay: time.Duration(g.faults.DelayMs) * time.Millisecond, down: g.faults.Down}
-	if v.down {
+	v := verdict{delay: time.Duration(g.faults.DelayMs) * time.Millisecond, down: g.faults.Down, silent: g.faults.Silent}
+	if v.down || v.silent {
 		return v
 	}
 	if g.faults.RefuseByRate || !bucket.allow(now) {
@@ -90,14 +95,15 @@
 	return v
 }
 
-func (g *gate) watchesBroken() bool {
+func (g *gate) countWatch() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.faults.Down || g.faults.WatchesBroken
+	g.counts.Watches++
 }
 
-func (g *gate) isDown() bool {
+// ofWatches returns the faults that concern waiting watches.
+func (g *gate) ofWatches() (broken, deaf bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.faults.Down
+	return g.faults.Down || g.faults.WatchesBroken, g.faults.Deaf
 }
--- /dev/null
+++ b/testbed/metastore/history.go
@@ -0,0 +1,44 @@
+package metastore
+
+import (
+	"encoding/json"
+	"sort"
+	"strings"
+
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
+)
+
+// ownPrefix begins the names of the kinds that the product keeps for itself.
+const ownPrefix = "fireflychute-"
+
+// History returns the changes of the product's own kinds after a version that are
+// still kept.
+func (s *Store) History(after uint64) []objectstore.Event {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	events := []objectstore.Event{}
+	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].revision > after })
+	for _, c := range s.history[first:] {
+		kind, own := strings.CutPrefix(c.kind, ownPrefix)
+		if !own {
+			continue
+		}
+		object := objectstore.Object{Kind: kind, Name: c.event.Object.Metadata.Name, Version: c.revision}
+		if !c.event.Deleted {
+			object.Value = valueOf(c.event.Object)
+		}
+		events = append(events, objectstore.Event{Object: object, Deleted: c.event.Deleted})
+	}
+	return events
+}
+
+func valueOf(object Object) []byte {
+	var content struct {
+		Value []byte `json:"value"`
+	}
+	err := json.Unmarshal(object.Spec, &content)
+	if err != nil {
+		panic(err) // the product wrote an object that it cannot read itself
+	}
+	return content.Value
+}
--- a/testbed/metastore/server.go
+++ b/testbed/metastore/server.go
@@ -1,96 +1,138 @@
 package metastore
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/api"
 )
 
-// Faults are what the stand-in does wrong.
-type Faults struct {
-	// Status answers each call with an error status; 0 does not.
-	Status int
-	// Silent calls get no answer until the caller leaves.
-	Silent bool
-	// Delay is the time before each answer.
-	Delay time.Duration
-	// LoseWrites carries writes out and cuts the connection without an answer.
-	LoseWrites bool
-	// Deaf watches hear of no change.
-	Deaf bool
-}
+// Default rates of the platform, in calls per second.
+const (
+	DefaultReadRate  = 2000
+	DefaultWriteRate = 300
+	// Unlimited is a rate that no caller reaches.
+	Unlimited = 1e9
+)
+
+const (
+	// maxValueBytes is the largest object that the store takes.
+	maxValueBytes = 1 << 20
+	// rateAdvice is the Retry-After of a call refused by rate, in seconds.
+	rateAdvice = "1"
+	// The platform keeps its list of VMs in one object.
+	vmKind     = "vms"
+	vmListName = "list"
+)
 
 // Server serves a Store over HTTP.
 type Server struct {
 	Store *Store
+	gate  gate
+	mux   *http.ServeMux
+}
+
+// NewServer returns a server of a store without rates.
+func NewServer(store *Store) *Server {
+	return NewLimitedServer(store, Unlimited, Unlimited)
+}
 
-	mu     sync.Mutex
-	faults Faults
-	calls  map[string]int
+// NewLimitedServer returns a server of a store with rates in calls per second.
+func NewLimitedServer(store *Store, readRate, writeRate float64) *Server {
+	now := time.Now()
+	s := &Server{Store: store, mux: http.NewServeMux()}
+	s.gate.reads = limiter{rate: readRate, tokens: readRate, last: now}
+	s.gate.writes = limiter{rate: writeRate, tokens: writeRate, last: now}
+	s.mux.HandleFunc("GET /v1/objects/{kind}", s.gated(s.list))
+	s.mux.HandleFunc("GET /v1/objects/{kind}/{name}", s.gated(s.get))
+	s.mux.HandleFunc("POST /v1/objects/{kind}", s.gated(s.create))
+	s.mux.HandleFunc("PUT /v1/objects/{kind}/{name}", s.gated(s.replace))
+	s.mux.HandleFunc("PUT /v1/objects/{kind}/{name}/status", s.gated(s.replaceStatus))
+	s.mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", s.gated(s.remove))
+	s.mux.HandleFunc("PUT /admin/vms", s.putVMs)
+	s.mux.HandleFunc("PUT /admin/faults", s.putFaults)
+	s.mux.HandleFunc("GET /admin/counts", s.getCounts)
+	return s
 }
 
-// NewServer returns a server of a store.
-func NewServer(store *Store) *Server { return &Server{Store: store, calls: map[string]int{}} }
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mux.ServeHTTP(w, r)
+}
 
-// SetFaults replaces the faults.
+// SetFaults replaces the faults that the stand-in shows.
 func (s *Server) SetFaults(faults Faults) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = faults
+	s.gate.mu.Lock()
+	defer s.gate.mu.Unlock()
+	s.gate.faults = faults
 }
 
-// Calls returns how often each method was called.
-func (s *Server) Calls() map[string]int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	calls := map[string]int{}
-	for method, count := range s.calls {
-		calls[method] = count
-	}
-	return calls
+// SetRates replaces the rates, in calls per second. Rates below 1 refuse every call.
+func (s *Server) SetRates(readRate, writeRate float64) {
+	s.gate.mu.Lock()
+	defer s.gate.mu.Unlock()
+	s.gate.reads.rate = readRate
+	s.gate.writes.rate = writeRate
 }
 
-func (s *Server) count(method string) Faults {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.calls[method]++
-	return s.faults
+// Counts returns how often the store was called.
+func (s *Server) Counts() Counts {
+	s.gate.mu.Lock()
+	defer s.gate.mu.Unlock()
+	return s.gate.counts
 }
 
-// ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	faults := s.count(r.Method)
-	switch {
-	case faults.Silent:
-		<-r.Context().Done()
-		return
-	case faults.Status != 0:
-		w.WriteHeader(faults.Status)
+// SetVMs replaces the VM list after the lag that the faults declare.
+func (s *Server) SetVMs(vms []api.VM) {
+	s.gate.mu.Lock()
+	lag := time.Duration(s.gate.faults.VMListLagMs) * time.Millisecond
+	s.gate.mu.Unlock()
+	publish := func() { s.Store.Put(vmKind, vmListName, map[string]any{"vms": vms}) }
+	if lag == 0 {
+		publish()
 		return
 	}
-	time.Sleep(faults.Delay)
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/objects/{kind}", func(w http.ResponseWriter, r *http.Request) { s.list(w, r, faults) })
-	mux.HandleFunc("POST /v1/objects/{kind}", s.create)
-	mux.HandleFunc("PUT /v1/objects/{kind}/{name}", s.replace)
-	mux.HandleFunc("PUT /v1/objects/{kind}/{name}/status", s.replaceStatus)
-	mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", s.remove)
-	if faults.LoseWrites && r.Method != http.MethodGet {
-		mux.ServeHTTP(discard{}, r)
-		panic(http.ErrAbortHandler)
+	time.AfterFunc(lag, publish)
+}
+
+// gated applies the faults and rates to a call.
+func (s *Server) gated(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		v := s.gate.admit(r.Method != http.MethodGet, time.Now())
+		if v.silent {
+			<-r.Context().Done()
+			return
+		}
+		if !sleep(r.Context(), v.delay) {
+			return
+		}
+		switch {
+		case v.down:
+			http.Error(w, "platform is down", http.StatusServiceUnavailable)
+		case v.limited:
+			w.Header().Set("Retry-After", rateAdvice)
+			http.Error(w, "too many calls", http.StatusTooManyRequests)
+		case v.loseAnswer:
+			next(discard{header: http.Header{}}, r)
+			panic(http.ErrAbortHandler)
+		default:
+			next(w, r)
+		}
 	}
-	mux.ServeHTTP(w, r)
 }
 
-// discard takes an answer that nobody gets.
-type discard struct{}
+// discard is a response writer for a call whose answer is lost.
+type discard struct {
+	header http.Header
+}
 
-func (discard) Header() http.Header         { return http.Header{} }
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
-func (discard) WriteHeader(int)             {}
+func (d discard) Header() http.Header         { return d.header }
+func (d discard) Write(p []byte) (int, error) { return len(p), nil }
+func (d discard) WriteHeader(int)             {}
 
 func answer(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
@@ -98,35 +140,58 @@
 	_ = json.NewEncoder(w).Encode(body) // a caller that left needs no answer
 }
 
-func (s *Server) list(w http.ResponseWriter, r *http.Request, faults Faults) {
-	kind := r.PathValue("kind")
-	if !r.URL.Query().Has("watch") {
-		objects, revision := s.Store.List(kind)
-		answer(w, http.StatusOK, map[string]any{"items": objects, "more": false, "as-of": revision})
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	object, exists := s.Store.Get(r.PathValue("kind"), r.PathValue("name"))
+	if !exists {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	answer(w, http.StatusOK, object)
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Has("watch") {
+		s.watch(w, r)
 		return
 	}
+	objects, more, revision := s.Store.page(r.PathValue("kind"), r.URL.Query().Get("after"), maxPage)
+	answer(w, http.StatusOK, map[string]any{"items": objects, "more": more, "as-of": revision})
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	s.gate.countWatch()
+	broken, deaf := s.gate.ofWatches()
+	if broken {
+		panic(http.ErrAbortHandler)
+	}
 	from, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	millis, _ := strconv.Atoi(r.URL.Query().Get("wait-ms"))
 	wait := time.Duration(millis) * time.Millisecond
-	if faults.Deaf {
-		time.Sleep(wait)
+	if deaf {
+		sleep(r.Context(), wait)
 		answer(w, http.StatusOK, map[string]any{"events": []Event{}, "as-of": from})
 		return
 	}
-	events, revision, ok := s.Store.watch(kind, from, wait, r.Context().Done())
-	if !ok {
+	events, revision, ok := s.Store.watch(r.Context(), r.PathValue("kind"), from, wait)
+	broken, _ = s.gate.ofWatches()
+	switch {
+	case broken:
+		panic(http.ErrAbortHandler)
+	case !ok:
 		w.WriteHeader(http.StatusGone)
-		return
-	}
-	if events == nil {
-		events = []Event{}
+	default:
+		answer(w, http.StatusOK, map[string]any{"events": events, "as-of": revision})
 	}
-	answer(w, http.StatusOK, map[string]any{"events": events, "as-of": revision})
 }
 
+// read reads the object in a body, and answers when it cannot.
 func read(w http.ResponseWriter, r *http.Request) (Object, bool) {
 	var object Object
-	text, err := io.ReadAll(r.Body)
+	text, err := io.ReadAll(io.LimitReader(r.Body, maxValueBytes+1))
+	if len(text) > maxValueBytes {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return object, false
+	}
 	if err == nil {
 		err = json.Unmarshal(text, &object)
 	}
@@ -197,3 +262,41 @@
 		w.WriteHeader(http.StatusOK)
 	}
 }
+
+func (s *Server) putVMs(w http.ResponseWriter, r *http.Request) {
+	var vms []api.VM
+	if decode(w, r, &vms) {
+		s.SetVMs(vms)
+	}
+}
+
+func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if decode(w, r, &faults) {
+		s.SetFaults(faults)
+	}
+}
+
+func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request) {
+	answer(w, http.StatusOK, s.Counts())
+}
+
+func decode(w http.ResponseWriter, r *http.Request, into any) bool {
+	err := json.NewDecoder(r.Body).Decode(into)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+	return err == nil
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d == 0 {
+		return true
+	}
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/testbed/platform/platform_test.go
+++ b/testbed/metastore/server_test.go
@@ -1,8 +1,9 @@
-package platform
+package metastore
 
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http/httptest"
 	"sync"
 	"testing"
@@ -11,17 +12,19 @@
 	"github.com/anishathalye/porcupine"
 	. "github.com/onsi/gomega"
 
-	client "github.com/fireflychute/fireflychute/pkg/platform"
+	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
+	"github.com/fireflychute/fireflychute/platform"
 )
 
 const kind = "thing"
 
 // start serves a platform on loopback and returns the real client for it.
-func start(t *testing.T, readRate, writeRate float64) (*Server, *client.Client) {
-	server := NewServer(readRate, writeRate)
+func start(t *testing.T, readRate, writeRate float64) (*Server, *platform.Objects) {
+	server := NewLimitedServer(New(), readRate, writeRate)
 	listener := httptest.NewServer(server)
 	t.Cleanup(listener.Close)
-	return server, client.NewClient(listener.URL, nil)
+	return server, platform.NewObjects(listener.URL, nil)
 }
 
 // Guards against a condition that is not enforced, or an error of another type.
@@ -30,20 +33,20 @@
 	ctx := t.Context()
 	_, c := start(t, 1000, 1000)
 	_, err := c.Get(ctx, kind, "a")
-	g.Expect(err).To(MatchError(client.ErrNotFound))
+	g.Expect(err).To(MatchError(objectstore.ErrNotFound))
 	first, err := c.Create(ctx, kind, "a", []byte("1"))
 	g.Expect(err).NotTo(HaveOccurred())
 	_, err = c.Create(ctx, kind, "a", []byte("2"))
-	g.Expect(err).To(MatchError(client.ErrConflict))
+	g.Expect(err).To(MatchError(objectstore.ErrConflict))
 	second, err := c.Update(ctx, kind, "a", []byte("2"), first)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(second).To(BeNumerically(">", first))
 	_, err = c.Update(ctx, kind, "a", []byte("3"), first)
-	g.Expect(err).To(MatchError(client.ErrConflict))
-	g.Expect(c.Delete(ctx, kind, "a", first)).To(MatchError(client.ErrConflict))
+	g.Expect(err).To(MatchError(objectstore.ErrConflict))
+	g.Expect(c.Delete(ctx, kind, "a", first)).To(MatchError(objectstore.ErrConflict))
 	object, err := c.Get(ctx, kind, "a")
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(object).To(Equal(client.Object{Kind: kind, Name: "a", Version: second, Value: []byte("2")}))
+	g.Expect(object).To(Equal(objectstore.Object{Kind: kind, Name: "a", Version: second, Value: []byte("2")}))
 	g.Expect(c.Delete(ctx, kind, "a", second)).To(Succeed())
 	third, err := c.Create(ctx, kind, "a", []byte("3"))
 	g.Expect(err).NotTo(HaveOccurred())
@@ -68,9 +71,11 @@
 	g.Expect(events).To(HaveLen(2))
 	g.Expect(events[0].Object.Version).To(Equal(second))
 	g.Expect(events[1].Deleted).To(BeTrue())
-	g.Expect(version).To(Equal(events[1].Object.Version))
+	_, now, err := c.List(ctx, kind)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(version).To(Equal(now), "a watch goes on from the version of the delete")
 
-	done := make(chan []client.Event)
+	done := make(chan []objectstore.Event)
 	go func() {
 		events, _, _ := c.Watch(ctx, kind, version)
 		done <- events
@@ -85,14 +90,13 @@
 func TestWatchFromForgottenVersion(t *testing.T) {
 	g := NewWithT(t)
 	server, c := start(t, 1000, 1000)
-	for range maxHistory + 1 {
-		version := server.store.objects[key{kind, "a"}].Version
-		_, err := server.store.put(kind, "a", nil, version)
-		g.Expect(err).NotTo(HaveOccurred())
+	began := server.Store.revision
+	for i := range maxHistory + 1 {
+		server.Store.Put(ownPrefix+kind, "a", map[string]any{"value": "", "write": fmt.Sprint(i)})
 	}
-	_, _, err := c.Watch(t.Context(), kind, 0)
-	g.Expect(err).To(MatchError(client.ErrForgotten))
-	events, _, err := c.Watch(t.Context(), kind, 1)
+	_, _, err := c.Watch(t.Context(), kind, began)
+	g.Expect(err).To(MatchError(objectstore.ErrHistoryGone))
+	events, _, err := c.Watch(t.Context(), kind, began+1)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(events).To(HaveLen(maxHistory))
 }
@@ -105,12 +109,12 @@
 	server, c := start(t, 1000, 1000)
 	server.SetFaults(Faults{LoseAnswers: 1})
 	_, err := c.Create(ctx, kind, "a", []byte("1"))
-	g.Expect(err).To(MatchError(client.ErrUnknownOutcome))
+	g.Expect(err).To(MatchError(objectstore.ErrUnknownOutcome))
 	object, err := c.Get(ctx, kind, "a")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(object.Value).To(Equal([]byte("1")))
 	_, err = c.Create(ctx, kind, "a", []byte("2"))
-	g.Expect(err).To(MatchError(client.ErrConflict), "only one answer is lost")
+	g.Expect(err).To(MatchError(objectstore.ErrConflict), "only one answer is lost")
 }
 
 // Guards against an outage that lets calls through.
@@ -120,9 +124,9 @@
 	server, c := start(t, 1000, 1000)
 	server.SetFaults(Faults{Down: true})
 	_, err := c.Create(ctx, kind, "a", []byte("1"))
-	g.Expect(err).To(MatchError(client.ErrUnavailable))
+	g.Expect(err).To(MatchError(objectstore.ErrUnavailable))
 	_, _, err = c.List(ctx, kind)
-	g.Expect(err).To(MatchError(client.ErrUnavailable))
+	g.Expect(err).To(MatchError(objectstore.ErrUnavailable))
 	server.SetFaults(Faults{})
 	objects, _, err := c.List(ctx, kind)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -154,8 +158,8 @@
 	_, _, err := c.List(t.Context(), kind)
 	g.Expect(err).NotTo(HaveOccurred())
 	_, _, err = c.List(t.Context(), kind)
-	var call *client.CallError
-	g.Expect(err).To(MatchError(client.ErrRateLimited))
+	var call *objectstore.CallError
+	g.Expect(err).To(MatchError(objectstore.ErrRateLimited))
 	g.Expect(errors.As(err, &call)).To(BeTrue())
 	g.Expect(call.RetryAfter).To(Equal(time.Second))
 }
@@ -232,12 +236,12 @@
 	g.Expect(porcupine.CheckOperations(register, history)).To(BeTrue(), "%d wins, %d conflicts", wins, conflicts)
 }
 
-func perform(ctx context.Context, c *client.Client, call step) seen {
+func perform(ctx context.Context, c *platform.Objects, call step) seen {
 	var version uint64
 	var err error
 	switch {
 	case !call.write:
-		var object client.Object
+		var object objectstore.Object
 		object, err = c.Get(ctx, kind, "a")
 		version = object.Version
 	case call.ifVersion == 0:
@@ -246,11 +250,75 @@
 		version, err = c.Update(ctx, kind, "a", []byte("x"), call.ifVersion)
 	}
 	switch {
-	case err == nil || errors.Is(err, client.ErrNotFound):
+	case err == nil || errors.Is(err, objectstore.ErrNotFound):
 		return seen{version: version}
-	case errors.Is(err, client.ErrConflict):
+	case errors.Is(err, objectstore.ErrConflict):
 		return seen{conflict: true}
 	default:
 		return seen{unknown: true}
 	}
 }
+
+// Guards against an update with the value that an object has already leaving its version:
+// readers tell by the version that an object was written again.
+func TestUpdateWithTheSameValueIsAChange(t *testing.T) {
+	g := NewWithT(t)
+	ctx := t.Context()
+	_, c := start(t, 1000, 1000)
+	first, err := c.Create(ctx, kind, "a", []byte("1"))
+	g.Expect(err).NotTo(HaveOccurred())
+	second, err := c.Update(ctx, kind, "a", []byte("1"), first)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(second).To(BeNumerically(">", first))
+}
+
+// Guards against a stand-in that is kinder than the store: there a write that changes
+// nothing is no event and leaves the revision.
+func TestWriteThatChangesNothing(t *testing.T) {
+	g := NewWithT(t)
+	store := New()
+	before := store.Put("config", "main", map[string]any{"a": 1})
+	g.Expect(store.Put("config", "main", map[string]any{"a": 1}).Metadata.Rev).To(Equal(before.Metadata.Rev))
+	g.Expect(store.changes("config", 0)).To(HaveLen(1))
+}
+
+// Guards against a list that ends with its first page.
+func TestListOfManyObjects(t *testing.T) {
+	g := NewWithT(t)
+	server, c := start(t, 1000, 1000)
+	for i := range 2*maxPage + 1 {
+		server.Store.Put(ownPrefix+kind, fmt.Sprint(i), map[string]any{"value": ""})
+	}
+	objects, _, err := c.List(t.Context(), kind)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(objects).To(HaveLen(2*maxPage + 1))
+}
+
+// Guards against a list of VMs that is not heard of, and against a watch that goes on
+// from a version that the store no longer keeps: it would be refused again at once.
+func TestListOfVMs(t *testing.T) {
+	g := NewWithT(t)
+	ctx := t.Context()
+	server, c := start(t, 1000, 1000)
+	list, _, err := c.VMs(ctx, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(list.Version).To(BeZero())
+	server.SetVMs([]api.VM{{Address: "a"}})
+	first, next, err := c.VMs(ctx, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(first.VMs).To(HaveLen(1))
+	server.SetVMs([]api.VM{{Address: "a"}, {Address: "b"}})
+	second, _, err := c.VMs(ctx, next)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(second.Version).To(BeNumerically(">", first.Version))
+	g.Expect(second.VMs).To(HaveLen(2))
+	server.Store.Put("other", "a", 1)
+	server.Store.Compact()
+	again, next, err := c.VMs(ctx, next)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(again).To(Equal(second), "the list is read where the history is gone")
+	brief, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer cancel()
+	_, _, err = c.VMs(brief, next)
+	g.Expect(err).To(MatchError(context.DeadlineExceeded), "the watch goes on from the version of the store and waits")
+}
--- a/testbed/metastore/store.go
+++ b/testbed/metastore/store.go
@@ -1,15 +1,22 @@
-// Package metastore is a stand-in of the platform's metadata store: objects by kind
-// and name with revisions, conditional writes, watches and a bounded history. It can
-// show the faults of the real one.
 package metastore
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
+	"slices"
 	"sort"
 	"sync"
 	"time"
 )
 
+const (
+	// maxHistory is the number of changes kept for watches.
+	maxHistory = 10_000
+	// maxPage is the number of objects in one answer to a list call.
+	maxPage = 500
+)
+
 // Object is one stored object.
 type Object struct {
 	Metadata Metadata        `json:"metadata"`
@@ -45,7 +52,8 @@
 	kinds    map[string]map[string]Object
 	history  []change
 	// floor is the revision up to which the history was dropped.
-	floor   uint64
+	floor uint64
+	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
 
@@ -90,7 +98,7 @@
 	return object, ok
 }
 
-// Compact drops the history.
+// Compact drops the history, so that watches from earlier revisions fail.
 func (s *Store) Compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -100,18 +108,47 @@
 
 // List returns the objects of a kind by name, and the store's revision.
 func (s *Store) List(kind string) ([]Object, uint64) {
+	objects, _, revision := s.page(kind, "", len(s.kinds)+maxHistory)
+	return objects, revision
+}
+
+// page returns the objects of a kind after a name, limit of them at most, and whether
+// there are more.
+func (s *Store) page(kind, after string, limit int) (objects []Object, more bool, revision uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	objects := []Object{}
-	for _, object := range s.kinds[kind] {
-		objects = append(objects, object)
+	objects = []Object{}
+	for name, object := range s.kinds[kind] {
+		if name > after {
+			objects = append(objects, object)
+		}
 	}
 	sort.Slice(objects, func(a, b int) bool { return objects[a].Metadata.Name < objects[b].Metadata.Name })
-	return objects, s.revision
+	if len(objects) > limit {
+		return objects[:limit], true, s.revision
+	}
+	return objects, false, s.revision
+}
+
+// changes reads the history; the caller holds the lock.
+func (s *Store) changes(kind string, after uint64) []Event {
+	events := []Event{}
+	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].revision > after })
+	for _, c := range s.history[first:] {
+		if c.kind == kind {
+			events = append(events, c.event)
+		}
+	}
+	return events
 }
 
-// store writes an object; the caller holds the lock.
+// store writes an object; the caller holds the lock. A write that changes nothing
+// leaves the revision and is no event.
 func (s *Store) store(kind string, object Object) Object {
+	current, exists := s.kinds[kind][object.Metadata.Name]
+	if exists && same(current, object) {
+		return current
+	}
 	s.revision++
 	if s.kinds[kind] == nil {
 		s.kinds[kind] = map[string]Object{}
@@ -121,15 +158,27 @@
 	}
 	object.Metadata.Rev = s.revision
 	s.kinds[kind][object.Metadata.Name] = object
-	s.history = append(s.history, change{s.revision, kind, Event{Object: object}})
-	s.wake()
+	s.record(change{s.revision, kind, Event{Object: object}})
 	return object
 }
 
+func same(a, b Object) bool {
+	return bytes.Equal(a.Spec, b.Spec) && bytes.Equal(a.Status, b.Status) && slices.Equal(a.Metadata.Finalizers, b.Metadata.Finalizers)
+}
+
 func (s *Store) remove(kind string, object Object) {
 	s.revision++
 	delete(s.kinds[kind], object.Metadata.Name)
-	s.history = append(s.history, change{s.revision, kind, Event{Object: object, Deleted: true}})
+	s.record(change{s.revision, kind, Event{Object: object, Deleted: true}})
+}
+
+// record adds a change to the history; the caller holds the lock.
+func (s *Store) record(c change) {
+	s.history = append(s.history, c)
+	if extra := len(s.history) - maxHistory; extra > 0 {
+		s.floor = s.history[extra-1].revision
+		s.history = s.history[extra:]
+	}
 	s.wake()
 }
 
@@ -146,16 +195,11 @@
 	if from < s.floor {
 		return nil, 0, nil, false
 	}
-	for _, c := range s.history {
-		if c.kind == kind && c.revision > from {
-			events = append(events, c.event)
-		}
-	}
-	return events, s.revision, s.changed, true
+	return s.changes(kind, from), s.revision, s.changed, true
 }
 
 // watch waits for events of a kind.
-func (s *Store) watch(kind string, from uint64, wait time.Duration, left <-chan struct{}) (events []Event, revision uint64, ok bool) {
+func (s *Store) watch(ctx context.Context, kind string, from uint64, wait time.Duration) (events []Event, revision uint64, ok bool) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -166,9 +210,9 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			return nil, revision, true
-		case <-left:
-			return nil, revision, true
+			return events, revision, true
+		case <-ctx.Done():
+			return events, revision, true
 		}
 	}
 }
--- a/testbed/operator/operator_test.go
+++ b/testbed/operator/operator_test.go
@@ -13,19 +13,20 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
+	"github.com/fireflychute/fireflychute/pkg/objectstore"
 	"github.com/fireflychute/fireflychute/pkg/operator"
 	"github.com/fireflychute/fireflychute/pkg/operator/operatortest"
-	client "github.com/fireflychute/fireflychute/pkg/platform"
-	"github.com/fireflychute/fireflychute/testbed/platform"
+	"github.com/fireflychute/fireflychute/platform"
+	"github.com/fireflychute/fireflychute/testbed/metastore"
 )
 
 // start serves a platform on loopback and returns its client and the
 // resource API of two nodes.
-func start(t *testing.T) (*platform.Server, client.Store, []*operator.Server) {
-	stand := platform.NewServer(100_000, 100_000)
+func start(t *testing.T) (*metastore.Server, objectstore.Store, []*operator.Server) {
+	stand := metastore.NewServer(metastore.New())
 	listener := httptest.NewServer(stand)
 	t.Cleanup(listener.Close)
-	store := client.NewClient(listener.URL, nil)
+	store := platform.NewObjects(listener.URL, nil)
 	nodes := []*operator.Server{}
 	for range 2 {
 		nodes = append(nodes, operator.NewServer(operator.Options{Store: store, Backend: &operatortest.Backend{Store: store}}))
@@ -52,9 +53,9 @@
 		g := NewWithT(t)
 		stand, _, nodes := start(t)
 		g.Expect(first(apply(g, nodes[0], "first", "a", 1))).To(Equal(http.StatusOK))
-		stand.SetFaults(platform.Faults{LoseAnswers: lost})
+		stand.SetFaults(metastore.Faults{LoseAnswers: lost})
 		status, result := apply(g, nodes[0], "second", "a", 2)
-		stand.SetFaults(platform.Faults{})
+		stand.SetFaults(metastore.Faults{})
 		again, same := apply(g, nodes[1], "second", "a", 2)
 		g.Expect(again).To(Equal(http.StatusOK))
 		g.Expect(same.Changes[0].Action).To(Equal(operator.ActionUpdate))
@@ -72,9 +73,9 @@
 func TestOutage(t *testing.T) {
 	g := NewWithT(t)
 	stand, _, nodes := start(t)
-	stand.SetFaults(platform.Faults{Down: true})
+	stand.SetFaults(metastore.Faults{Down: true})
 	g.Expect(first(apply(g, nodes[0], "first", "a", 1))).To(Equal(http.StatusServiceUnavailable))
-	stand.SetFaults(platform.Faults{})
+	stand.SetFaults(metastore.Faults{})
 	g.Expect(first(apply(g, nodes[1], "first", "a", 1))).To(Equal(http.StatusOK))
 }
 
--- a/testbed/soak/soak.go
+++ b/testbed/soak/soak.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -259,11 +260,11 @@
 
 func (s *soak) storeFault(long time.Duration) {
 	faults := []metastore.Faults{
-		{Status: http.StatusServiceUnavailable},
-		{Status: http.StatusTooManyRequests},
+		{Down: true},
+		{RefuseByRate: true},
 		{Silent: true},
-		{Delay: 300 * time.Millisecond},
-		{LoseWrites: true},
+		{DelayMs: 300},
+		{LoseAnswers: math.MaxInt},
 		{Deaf: true},
 	}
 	drawn := s.random.IntN(len(faults))
