Wait for the list of VMs where the platform has not written one

Cause: a node that asked before the first list was written took that for an empty list and became ready without targets.

Ruled out: readiness that waits for a target; a platform without VMs is not an error.

--- a/pkg/objectstore/store.go
+++ b/pkg/objectstore/store.go
@@ -58,6 +58,7 @@
 	Watch(ctx context.Context, kind string, after uint64) ([]Event, uint64, error)
 	// VMs waits for a list of VMs that was written after a version of the store and
 	// returns it, and the version to go on from. The list is empty and has version 0
-	// when the waiting time ended without one. A call from version 0 does not wait.
+	// when the waiting time ended without one. A call from version 0 waits
+	// only where there is no list yet.
 	VMs(ctx context.Context, after uint64) (api.VMList, uint64, error)
 }
