Judge a version on slow and late sends, load it briefly, report it after its step

Causes, in the order found:

* Slow answers were known seconds after the fast ones.
A send that takes three times as long as usual is counted while it runs.
* At the end of the trial nothing was asked but the test over time, which needs many periods.
One look at all that was seen now decides before a version gets all requests, also by answers of more than 2.5 times the median, which needs few answers of the old version; with all requests, where there is none of the old version to compare with, the failures so far decide.
* The error rate was divided over all routes of a service, idle ones included.
* The stage under load was skipped at high rates, since its share was kept until the version got all requests.
It lasts 0.9 s, on few targets, and its faults are awaited.
The status follows the failed step; a new leader waits 2 s.
* What a version on trial had no room for was refused; the version in use takes it.

What is left: faults that show only under load, and slow answers, of services with 20 to 30 requests a second and rollouts of 11 s.

--- a/pkg/canary/decide.go
+++ b/pkg/canary/decide.go
@@ -2,35 +2,47 @@
 
 import "time"
 
-// Stages of a rollout. Under trial, the version gets a small share until half of
-// the time has passed: long enough for a fault that shows late. Then it gets as much
-// as the exposure bound allows for a moment, which shows faults under load, then all.
+// Stages of a rollout. Under trial, the version gets a small share until half of the time
+// has passed: long enough for a fault that shows late. Then it gets a large share for a
+// moment, which shows faults under load, and a small one until those are known. Then it
+// gets all.
 const (
 	trialShare    = 0.05
 	maxTrialShare = 0.25
-	// trialExposure is the part of the allowed exposure that the trial may use; where
-	// there are few requests, it allows a larger share and so an earlier verdict.
+	// trialExposure is the part of the allowed exposure that the trial uses; where there
+	// are few requests, that is a larger share and so an earlier verdict.
 	trialExposure = 0.2
+	// trialRequests is how many requests the trial needs to tell a bad version from a good
+	// one. Where trialExposure gives fewer, the trial may use up to maxTrialExposure.
+	trialRequests    = 35
+	maxTrialExposure = 0.45
 	// raiseFactor is how much larger a share has to be to replace the one in force.
 	raiseFactor = 1.5
-	// loadShare is the share in the stage under load.
-	loadShare = 0.5
-	// trialPart and loadPart are the parts of the rollout's time at which the trial
-	// and the stage under load end.
-	trialPart = 0.5
-	loadPart  = 0.64
-	// minLoadTime is the least duration of the stage under load.
-	minLoadTime = 1500 * time.Millisecond
+	// loadShare is the largest share in the stage under load, loadExposure the part of the
+	// exposure left by the trial that the stage may use.
+	loadShare    = 0.5
+	loadExposure = 0.6
+	// stageLoad is the least load of a target in the stage under load, as in a burst. Where
+	// the share is small, only a few targets take it.
+	stageLoad = 2.0
+	// trialPart and promotePart are the parts of the rollout's time at which the trial ends
+	// and the version gets all requests at the earliest.
+	trialPart   = 0.5
+	promotePart = 0.64
+	// loadTime is the duration of the stage under load, which includes the time until all
+	// nodes know of it; observeTime is how long its faults may take to show.
+	loadTime    = 900 * time.Millisecond
+	observeTime = 1200 * time.Millisecond
 	// settleTime is how long the version has all requests before the old targets may
 	// stop: requests that are running there have ended by then.
 	settleTime = 2600 * time.Millisecond
+	// takeoverTime is how long a node leads before it gives a version all requests or
+	// reports it complete: until then it may not have heard what the others saw.
+	takeoverTime = 2 * time.Second
 	// deadlineMargin is the time before the deadline at which the move is reported.
 	deadlineMargin = 700 * time.Millisecond
 	// exposurePart is the part of the allowed exposure that is used.
 	exposurePart = 0.9
-	// reactionTime is the time in which a bad version goes on receiving requests
-	// after its badness shows.
-	reactionTime = 1500 * time.Millisecond
 )
 
 // Progress is what is known of a rollout.
@@ -39,6 +51,8 @@
 	// Share is the share in force, Held how long it has been.
 	Share float64
 	Held  time.Duration
+	// Led is how long the deciding node has led the rollout.
+	Led time.Duration
 	// Requests and Exposed are the service's requests since the order and those that
 	// went to the new version.
 	Requests, Exposed int
@@ -46,6 +60,9 @@
 	Rate float64
 	// Bad tells that the new version was found to be bad.
 	Bad bool
+	// Failing and Slow are how likely a good version shows failures and slow answers such
+	// as those seen so far.
+	Failing, Slow float64
 	// Present tells that there are targets of the new version.
 	Present bool
 }
@@ -61,26 +78,52 @@
 	Share    float64
 	Complete bool
 	RollBack bool
+	// Load is how much a target of the new version gets of what it would get with all
+	// requests; 0 spreads the share over all its targets.
+	Load float64
 }
 
+// SuspectProbability is how likely a good version may be suspected at the end of the
+// stages with a part of the requests. With all requests a bad one would pass its bound of
+// exposure within a second or two, so a doubt is enough to roll it back.
+const SuspectProbability = 0.02
+
 // Decide returns the next step of a rollout.
 func Decide(p Progress, bounds Bounds) Decision {
-	loadEnd := max(scale(p.Duration, loadPart), scale(p.Duration, trialPart)+minLoadTime)
+	trialEnd := scale(p.Duration, trialPart)
+	loadEnd := trialEnd + loadTime
+	promotion := max(scale(p.Duration, promotePart), loadEnd+observeTime)
 	switch {
 	case p.Bad:
 		return Decision{RollBack: true}
 	case p.Share >= 1:
+		if p.Failing <= SuspectProbability {
+			return Decision{RollBack: true}
+		}
 		last := p.Elapsed >= p.Duration-deadlineMargin && p.Held >= settleTime/2
-		return Decision{Share: 1, Complete: p.Held >= settleTime || last}
+		return Decision{Share: 1, Complete: p.Led >= takeoverTime && (p.Held >= settleTime || last)}
 	case !p.Present:
 		return Decision{Share: p.Share, RollBack: p.Elapsed >= p.Duration}
-	case p.Elapsed < scale(p.Duration, trialPart):
+	case p.Elapsed < trialEnd:
 		return Decision{Share: trialStageShare(p, bounds)}
 	case p.Elapsed < loadEnd:
-		return Decision{Share: max(p.Share, loadStageShare(p, bounds, loadEnd))}
+		return Decision{Share: max(p.Share, loadStageShare(p, bounds)), Load: stageLoad}
+	case p.Elapsed < promotion:
+		return Decision{Share: leastShare(bounds)}
+	case p.Led < takeoverTime:
+		return Decision{Share: p.Share}
 	default:
-		return Decision{Share: 1}
+		return Decision{Share: 1, RollBack: min(p.Failing, p.Slow) <= SuspectProbability}
+	}
+}
+
+// Targets returns over how many of a version's targets a decision spreads its share; 0
+// stands for all.
+func (d Decision) Targets(present int) int {
+	if d.Load == 0 || present == 0 {
+		return 0
 	}
+	return max(1, int(float64(present)*d.Share/d.Load))
 }
 
 // allowedExposure is how many requests the version may get in all, with a reserve.
@@ -91,10 +134,10 @@
 
 // trialStageShare returns the share in the trial.
 func trialStageShare(p Progress, bounds Bounds) float64 {
-	share := min(trialShare, bounds.Share/2)
+	share := leastShare(bounds)
 	if p.Rate > 0 {
 		stage := p.Rate * scale(p.Duration, trialPart).Seconds()
-		share = max(share, min(maxTrialShare, trialExposure*allowedExposure(p, bounds)/stage))
+		share = max(share, min(maxTrialShare, trialBudget(allowedExposure(p, bounds))/stage))
 	}
 	if share < raiseFactor*p.Share {
 		return p.Share
@@ -102,13 +145,21 @@
 	return share
 }
 
-// loadStageShare returns the share in the stage under load: as much as leaves room
-// for the requests that arrive until a fault is seen afterwards.
-func loadStageShare(p Progress, bounds Bounds, loadEnd time.Duration) float64 {
-	left := allowedExposure(p, bounds) - float64(p.Exposed) - p.Rate*reactionTime.Seconds()
-	stage := p.Rate * (loadEnd - p.Elapsed).Seconds()
+// trialBudget is how many requests the trial may use of the allowed exposure.
+func trialBudget(allowed float64) float64 {
+	return max(trialExposure*allowed, min(trialRequests, maxTrialExposure*allowed))
+}
+
+// leastShare is the share of a version of which nothing is known yet.
+func leastShare(bounds Bounds) float64 { return min(trialShare, bounds.Share/2) }
+
+// loadStageShare returns the share in the stage under load: what is left of the exposure
+// is also needed for a fault that shows only with all requests.
+func loadStageShare(p Progress, bounds Bounds) float64 {
+	left := loadExposure * (allowedExposure(p, bounds) - float64(p.Exposed))
+	stage := p.Rate * loadTime.Seconds()
 	if left <= 0 || stage <= 0 {
-		return min(trialShare, bounds.Share/2)
+		return leastShare(bounds)
 	}
 	return min(loadShare, left/stage)
 }
--- a/pkg/canary/decide_test.go
+++ b/pkg/canary/decide_test.go
@@ -40,9 +40,9 @@
 			badSince = elapsed
 		}
 		decision := Decide(Progress{
-			Elapsed: elapsed, Duration: r.duration, Share: share, Held: elapsed - since,
+			Elapsed: elapsed, Led: elapsed, Duration: r.duration, Share: share, Held: elapsed - since,
 			Requests: int(out.requests), Exposed: int(out.exposed), Rate: r.rate, Present: true,
-			Bad: badSince >= 0 && elapsed-badSince >= r.detect,
+			Failing: 1, Slow: 1, Bad: badSince >= 0 && elapsed-badSince >= r.detect,
 		}, bounds)
 		if decision.RollBack || decision.Complete {
 			out.end, out.at = decision, elapsed
@@ -95,7 +95,7 @@
 // Guards against a version without targets being given all requests.
 func TestVersionWithoutTargetsIsRolledBackAtTheDeadline(t *testing.T) {
 	g := NewWithT(t)
-	p := Progress{Elapsed: 15 * time.Second, Duration: 16 * time.Second, Share: 0.05}
+	p := Progress{Led: time.Minute, Elapsed: 15 * time.Second, Duration: 16 * time.Second, Share: 0.05}
 	g.Expect(Decide(p, bounds)).To(Equal(Decision{Share: 0.05}))
 	p.Elapsed = 16 * time.Second
 	g.Expect(Decide(p, bounds).RollBack).To(BeTrue())
@@ -130,3 +130,79 @@
 		})
 	}
 }
+
+// Guards against a version that looks worse, but not enough so for the test over time,
+// being given all requests: it would pass its bound of exposure before more is known.
+func TestSuspectVersionIsNotGivenAllRequests(t *testing.T) {
+	g := NewWithT(t)
+	p := Progress{Led: time.Minute, Duration: 16 * time.Second, Share: 0.05, Rate: 20, Present: true, Failing: 1, Slow: 0.01}
+	p.Elapsed = 7 * time.Second
+	g.Expect(Decide(p, bounds).RollBack).To(BeFalse(), "the trial goes on and may clear it")
+	p.Elapsed = 11 * time.Second
+	g.Expect(Decide(p, bounds).RollBack).To(BeTrue())
+	p.Slow = 0.1
+	g.Expect(Decide(p, bounds)).To(Equal(Decision{Share: 1}))
+}
+
+// Guards against a trial at a low rate that sees too few requests to tell anything.
+func TestTrialSeesEnoughRequests(t *testing.T) {
+	for _, rate := range []float64{10, 26, 92, 400} {
+		g := NewWithT(t)
+		p := Progress{Led: time.Minute, Elapsed: 2 * time.Second, Duration: 12 * time.Second, Rate: rate, Requests: int(2 * rate), Present: true}
+		stage := rate * trialPart * p.Duration.Seconds()
+		trial := Decide(p, bounds).Share * stage
+		allowed := allowedExposure(p, bounds)
+		g.Expect(trial).To(BeNumerically(">=", min(trialRequests, maxTrialShare*stage, maxTrialExposure*allowed)-1e-9), "rate %v", rate)
+		g.Expect(trial).To(BeNumerically("<", allowed/2), "rate %v", rate)
+	}
+}
+
+// Guards against a version that fails once it has all requests, where there are none of
+// the old version's to compare with, and is reported complete.
+func TestVersionThatFailsWithAllRequestsIsRolledBack(t *testing.T) {
+	g := NewWithT(t)
+	p := Progress{Led: time.Minute, Elapsed: 13 * time.Second, Duration: 16 * time.Second, Share: 1, Held: settleTime, Rate: 20, Present: true, Failing: 0.001, Slow: 1}
+	g.Expect(Decide(p, bounds).RollBack).To(BeTrue())
+	p.Failing, p.Slow = 1, 0
+	g.Expect(Decide(p, bounds).Complete).To(BeTrue(), "an overload slows every version")
+}
+
+// Guards against a stage under load at a small share that loads no target.
+func TestLoadStageLoadsTargets(t *testing.T) {
+	g := NewWithT(t)
+	p := Progress{Led: time.Minute, Elapsed: 8500 * time.Millisecond, Duration: 16 * time.Second, Share: 0.08, Rate: 133, Requests: 1130, Exposed: 240, Present: true, Failing: 1, Slow: 1}
+	decision := Decide(p, bounds)
+	g.Expect(decision.Share).To(Equal(0.08), "there is no room for more within the exposure")
+	g.Expect(decision.Targets(20)).To(Equal(1))
+	g.Expect(Decision{Share: 0.5, Load: 2}.Targets(12)).To(Equal(3))
+	g.Expect(Decision{Share: 1}.Targets(12)).To(BeZero())
+}
+
+// Guards against a stage under load that uses up the exposure before its faults are known.
+func TestLoadStageIsBriefAndWaitsForEvidence(t *testing.T) {
+	g := NewWithT(t)
+	p := Progress{Led: time.Minute, Duration: 12 * time.Second, Share: 0.08, Rate: 133, Requests: 800, Exposed: 55, Present: true, Failing: 1, Slow: 1}
+	p.Elapsed = 6 * time.Second
+	load := Decide(p, bounds)
+	g.Expect(load.Share).To(And(BeNumerically(">", maxTrialShare), BeNumerically("<=", loadShare)))
+	spent := load.Share * p.Rate * loadTime.Seconds()
+	g.Expect(float64(p.Exposed) + spent).To(BeNumerically("<", 0.75*allowedExposure(p, bounds)))
+	p.Elapsed, p.Share = 6*time.Second+loadTime, load.Share
+	g.Expect(Decide(p, bounds)).To(Equal(Decision{Share: trialShare}))
+	p.Elapsed += observeTime
+	g.Expect(Decide(p, bounds)).To(Equal(Decision{Share: 1}))
+}
+
+// Guards against a node that takes over a rollout and, before it has heard what the others
+// saw, gives a bad version all requests or reports it complete.
+func TestNewLeaderWaitsForEvidence(t *testing.T) {
+	g := NewWithT(t)
+	p := Progress{Elapsed: 11 * time.Second, Duration: 16 * time.Second, Share: 0.05, Rate: 20, Present: true, Failing: 1, Slow: 1}
+	g.Expect(Decide(p, bounds)).To(Equal(Decision{Share: 0.05}))
+	p.Led = takeoverTime
+	g.Expect(Decide(p, bounds)).To(Equal(Decision{Share: 1}))
+	p.Share, p.Held, p.Led = 1, settleTime, 0
+	g.Expect(Decide(p, bounds).Complete).To(BeFalse())
+	p.Bad = true
+	g.Expect(Decide(p, bounds).RollBack).To(BeTrue(), "a bad version is rolled back at once")
+}
--- a/pkg/canary/outcomes.go
+++ b/pkg/canary/outcomes.go
@@ -32,7 +32,8 @@
 // Counts are outcomes that only grow.
 type Counts struct {
 	Requests, Failures uint64
-	// Latencies counts answers of warm targets by bucket.
+	// Latencies counts answers of warm targets by bucket, late and overtaken sends by the
+	// time that they had taken. Those whose caller left say nothing.
 	Latencies [bucketCount]uint64
 }
 
@@ -48,6 +49,17 @@
 // Asked implements forward.Observer.
 func (o *Outcomes) Asked(bool) {}
 
+// Late implements forward.Observer.
+func (o *Outcomes) Late(record *forward.Record, try *forward.Try) {
+	if try.Order != 0 {
+		o.add(keyOf(record, try), try)
+	}
+}
+
+func keyOf(record *forward.Record, try *forward.Try) Key {
+	return Key{record.Service, try.Order, record.Route, try.Canary}
+}
+
 // Ended implements forward.Observer. Sends that did not run say nothing of a version.
 func (o *Outcomes) Ended(record *forward.Record) {
 	for i := range record.Tries {
@@ -55,7 +67,20 @@
 		if try.Order == 0 || try.NotRun {
 			continue
 		}
-		o.add(Key{record.Service, try.Order, record.Route, try.Canary}, try)
+		if try.Late {
+			o.addEnd(keyOf(record, try), try)
+			continue
+		}
+		o.add(keyOf(record, try), try)
+	}
+}
+
+// addEnd counts the end of a send that was counted while it ran.
+func (o *Outcomes) addEnd(key Key, try *forward.Try) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if row := o.rows[key]; row != nil && try.Failed {
+		row.Failures++
 	}
 }
 
@@ -72,7 +97,8 @@
 		row.Failures++
 		return
 	}
-	if !try.Load.Cold && try.Latency > 0 {
+	answered := try.Status != 0 || try.Overtaken || try.Late
+	if answered && !try.Load.Cold && try.Latency > 0 {
 		row.Latencies[bucketOf(try.Latency)]++
 	}
 }
--- a/pkg/canary/outcomes_test.go
+++ b/pkg/canary/outcomes_test.go
@@ -22,7 +22,7 @@
 		forward.Try{Order: 7, Canary: true, NotRun: true, Failed: true},
 		forward.Try{Order: 7, Canary: true, Failed: true},
 		forward.Try{Order: 7, Canary: true, Load: forward.Load{Cold: true}, Latency: time.Second},
-		forward.Try{Order: 7, Latency: 220 * time.Millisecond},
+		forward.Try{Order: 7, Status: 200, Latency: 220 * time.Millisecond},
 		forward.Try{Latency: time.Second},
 	))
 	rows := o.Rows(map[uint64]bool{7: true})
@@ -36,6 +36,43 @@
 	g.Expect(o.Rows(nil)).To(BeEmpty(), "counts of ended rollouts are forgotten")
 }
 
+// Guards against a slow version whose slow sends are left out because a second send
+// overtook them, and against callers that leave early making a version look fast.
+func TestOvertakenSendsCountAsSlow(t *testing.T) {
+	g := NewWithT(t)
+	o := NewOutcomes()
+	o.Ended(ended(
+		forward.Try{Order: 7, Canary: true, Overtaken: true, Latency: 500 * time.Millisecond},
+		forward.Try{Order: 7, Status: 200, Latency: 200 * time.Millisecond},
+	))
+	o.Ended(ended(forward.Try{Order: 7, Canary: true, Latency: 20 * time.Millisecond}))
+	canary := o.Rows(map[uint64]bool{7: true})[Key{Service: "s", Order: 7, Route: "r", Canary: true}]
+	timed := canary.Since(Counts{})
+	g.Expect(canary.Requests).To(Equal(uint64(2)))
+	g.Expect([]int{timed.Timed(), timed.Above(400_000)}).To(Equal([]int{1, 1}))
+}
+
+// Guards against slow answers that are known only long after the fast ones, and against a
+// late send that is counted twice.
+func TestLateSendsCountWhileTheyRun(t *testing.T) {
+	g := NewWithT(t)
+	o := NewOutcomes()
+	counts := func() Counts {
+		return o.Rows(map[uint64]bool{7: true})[Key{Service: "s", Order: 7, Route: "r", Canary: true}]
+	}
+	late := forward.Try{Order: 7, Canary: true, Late: true, Latency: 700 * time.Millisecond}
+	o.Late(ended(), &late)
+	before := counts()
+	timed := before.Since(Counts{})
+	g.Expect(timed.Above(400_000)).To(Equal(1))
+	late.Status, late.Latency = 200, 2*time.Second
+	o.Ended(ended(late))
+	g.Expect(counts()).To(Equal(before))
+	late.Failed = true
+	o.Ended(ended(late))
+	g.Expect(counts().Failures).To(Equal(uint64(1)))
+}
+
 // Guards against a latency that changes much on its way through the buckets.
 func TestBucketsKeepLatenciesNearly(t *testing.T) {
 	g := NewWithT(t)
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -110,6 +110,8 @@
 	Order uint64
 	// Share is the part of the service's requests that Version receives.
 	Share float64
+	// Targets is over how many of Version's targets the share is spread; 0 stands for all.
+	Targets int
 	// Elapsed is the time since the order at the time of writing.
 	Elapsed time.Duration
 	// Failed tells that the version was found to be bad.
--- a/pkg/edge/journal.go
+++ b/pkg/edge/journal.go
@@ -52,6 +52,9 @@
 // Asked implements forward.Observer.
 func (j *journal) Asked(bool) {}
 
+// Late implements forward.Observer.
+func (j *journal) Late(*forward.Record, *forward.Try) {}
+
 // Ended implements forward.Observer.
 func (j *journal) Ended(r *forward.Record) {
 	now := time.Now()
@@ -129,6 +132,13 @@
 	}
 }
 
+// Late implements forward.Observer.
+func (o observers) Late(record *forward.Record, try *forward.Try) {
+	for _, observer := range o {
+		observer.Late(record, try)
+	}
+}
+
 // Asked implements forward.Observer.
 func (o observers) Asked(failed bool) {
 	for _, observer := range o {
--- a/pkg/edge/lead.go
+++ b/pkg/edge/lead.go
@@ -17,8 +17,14 @@
 func (c *controller) decide(ctx context.Context, now time.Time, t *tracked, order topology.Order) {
 	progress := canary.Progress{
 		Elapsed: t.elapsed(now), Duration: order.Duration, Share: t.share, Held: now.Sub(t.since),
-		Requests: int(t.total), Rate: t.rate, Bad: t.bad, Present: c.hasTargets(order),
+		Led: now.Sub(c.rollouts.leadSince), Requests: int(t.total), Rate: t.rate, Bad: t.bad || t.blocked, Failing: 1, Slow: 1,
 	}
+	if t.judge != nil {
+		suspicion := t.judge.Suspicion()
+		progress.Failing, progress.Slow = suspicion.Failing, suspicion.Slow
+	}
+	present := c.targetsOf(order)
+	progress.Present = present > 0
 	for key, row := range t.last {
 		if key.Canary {
 			progress.Exposed += int(row.Requests)
@@ -28,45 +34,54 @@
 	decision := canary.Decide(progress, bounds)
 	switch {
 	case decision.RollBack:
-		c.writeStep(ctx, now, t, order, 0, true)
-		c.writeStatus(ctx, now, t, order, catalog.RolloutRolledBack)
+		c.writeStep(ctx, now, t, order, catalog.Step{Failed: true})
+		// The next rollout takes its base from the step, so the step is written first.
+		if c.isFailed(order) {
+			c.writeStatus(ctx, now, t, order, catalog.RolloutRolledBack)
+		}
 	case decision.Complete:
 		c.writeStatus(ctx, now, t, order, catalog.RolloutComplete)
 	default:
-		c.writeStep(ctx, now, t, order, decision.Share, false)
+		c.writeStep(ctx, now, t, order, catalog.Step{Share: decision.Share, Targets: decision.Targets(present)})
 		if order.State == catalog.RolloutNew {
 			c.writeStatus(ctx, now, t, order, catalog.RolloutInProgress)
 		}
 	}
 }
 
-func (c *controller) hasTargets(order topology.Order) bool {
+// isFailed tells whether the store has the step that ends a rollout as failed.
+func (c *controller) isFailed(order topology.Order) bool {
+	step, exists := c.view.steps[order.Service]
+	return exists && step.Order == order.ID && step.Version == order.Version && step.Failed
+}
+
+// targetsOf counts the targets of the version that an order is about.
+func (c *controller) targetsOf(order topology.Order) (count int) {
 	for _, known := range c.view.targets {
 		if known.err == nil && known.target.Service == order.Service && known.target.Version == order.Version && !known.target.Leaving {
-			return true
+			count++
 		}
 	}
-	return false
+	return count
 }
 
 // writeStep writes the share of a version if it differs from the one in force.
-func (c *controller) writeStep(ctx context.Context, now time.Time, t *tracked, order topology.Order, share float64, failed bool) {
+func (c *controller) writeStep(ctx context.Context, now time.Time, t *tracked, order topology.Order, step catalog.Step) {
 	current, exists := c.view.steps[order.Service]
-	same := exists && current.Order == order.ID && current.Version == order.Version
-	if same && current.Failed == failed && abs(current.Share-share) < shareGrain || t.write.busy || now.Before(t.write.next) {
+	same := exists && current.Order == order.ID && current.Version == order.Version && current.Failed == step.Failed &&
+		current.Targets == step.Targets && abs(current.Share-step.Share) < shareGrain
+	if same || t.write.busy || now.Before(t.write.next) {
 		return
 	}
-	step := catalog.Step{
-		Service: order.Service, Version: order.Version, Base: c.baseOf(order, current, exists), Order: order.ID,
-		Share: share, Elapsed: t.elapsed(now), Failed: failed,
-	}
+	step.Service, step.Version, step.Order = order.Service, order.Version, order.ID
+	step.Base, step.Elapsed = c.baseOf(order, current, exists), t.elapsed(now)
 	spec, err := c.options.Codec.EncodeStep(step)
 	if err != nil {
 		c.log.Error().Err(err).Msg("step cannot be encoded")
 		return
 	}
 	object, stored := c.replica.Object(replica.Steps, order.Service)
-	c.log.Info().Str("service", order.Service).Str("version", order.Version).Float64("share", share).Bool("failed", failed).
+	c.log.Info().Str("service", order.Service).Str("version", order.Version).Float64("share", step.Share).Int("targets", step.Targets).Bool("failed", step.Failed).
 		Dur("elapsed", step.Elapsed).Uint64("requests", t.total).Float64("rate", t.rate).Msg("rollout step")
 	c.write(ctx, &t.write, replica.Steps, func(ctx context.Context) (replica.Object, error) {
 		if stored {
--- /dev/null
+++ b/pkg/edge/lead_test.go
@@ -0,0 +1,74 @@
+package edge
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/fireflychute/fireflychute/pkg/catalog"
+	"github.com/fireflychute/fireflychute/pkg/replica"
+	"github.com/fireflychute/fireflychute/pkg/topology"
+)
+
+// writes is a store that tells which kinds are written.
+type writes struct {
+	Store
+	kinds chan replica.Kind
+}
+
+func (w writes) Create(context.Context, replica.Kind, string, []byte) (replica.Object, error) {
+	w.kinds <- replica.Steps
+	return replica.Object{}, nil
+}
+
+func (w writes) Replace(_ context.Context, kind replica.Kind, _ string, _ uint64, _ []byte) (replica.Object, error) {
+	w.kinds <- kind
+	return replica.Object{}, nil
+}
+
+func (w writes) ReplaceStatus(_ context.Context, kind replica.Kind, _ string, _ uint64, _ []byte) (replica.Object, error) {
+	w.kinds <- kind
+	return replica.Object{}, nil
+}
+
+// plain is a codec whose documents are of no interest.
+type plain struct{ Codec }
+
+func (plain) EncodeStep(catalog.Step) ([]byte, error) { return []byte("{}"), nil }
+
+func (plain) EncodeRolloutStatus(string, catalog.RolloutState) ([]byte, error) {
+	return []byte("{}"), nil
+}
+
+// Guards against a rollout that is reported as rolled back while the step in the store
+// still gives its version all requests: the next rollout would take that version, whose
+// targets leave, for the one in use.
+func TestRolledBackIsReportedAfterTheFailedStep(t *testing.T) {
+	g := NewWithT(t)
+	store := writes{kinds: make(chan replica.Kind, 4)}
+	c := newController(Options{Store: store, Codec: plain{}, Log: zerolog.Nop()}, nil, nil)
+	now := time.Now()
+	order := topology.Order{
+		Rollout: catalog.Rollout{Service: "s", Version: "v2", Duration: time.Minute, State: catalog.RolloutInProgress}, Name: "s", ID: 7,
+	}
+	step := catalog.Step{Service: "s", Version: "v2", Base: "v1", Order: 7, Share: 1}
+	c.view.steps = map[string]catalog.Step{"s": step}
+	c.replica.Put(now, replica.Rollouts, replica.Object{Name: "s", Revision: 3})
+	c.replica.Put(now, replica.Steps, replica.Object{Name: "s", Revision: 4})
+	bad := &tracked{bad: true, share: 1, since: now, baseAt: now}
+	c.decide(t.Context(), now, bad, order)
+	g.Expect(<-store.kinds).To(Equal(replica.Steps))
+	g.Consistently(store.kinds, "50ms").ShouldNot(Receive(), "the status waits for the step")
+
+	step.Failed, step.Share = true, 0
+	c.view.steps["s"] = step
+	bad.write = writeState{}
+	c.decide(t.Context(), now, bad, order)
+	g.Eventually(store.kinds).Should(Receive(Equal(replica.Rollouts)))
+	next := order
+	next.ID, next.Version = 8, "v3"
+	g.Expect(c.baseOf(next, step, true)).To(Equal("v1"))
+}
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -35,6 +35,9 @@
 	failures  atomic.Int64
 }
 
+// Late implements forward.Observer.
+func (m *meter) Late(*forward.Record, *forward.Try) {}
+
 // Asked implements forward.Observer.
 func (m *meter) Asked(failed bool) {
 	m.questions.Add(1)
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
+	"github.com/fireflychute/fireflychute/pkg/api"
 	"github.com/fireflychute/fireflychute/pkg/canary"
 	"github.com/fireflychute/fireflychute/pkg/catalog"
 	"github.com/fireflychute/fireflychute/pkg/judge"
 	"github.com/fireflychute/fireflychute/pkg/message"
+	"github.com/fireflychute/fireflychute/pkg/outcome"
 	"github.com/fireflychute/fireflychute/pkg/replica"
 	"github.com/fireflychute/fireflychute/pkg/topology"
 )
@@ -19,6 +20,8 @@
 // rolloutState is what the node knows of rollouts beside the replica.
 type rolloutState struct {
 	leading bool
+	// leadSince is when the node began to lead.
+	leadSince time.Time
 	// reports are the latest counts of each start of each node. Those of an earlier
 	// start still count.
 	reports map[reportKey]map[canary.Key]canary.Counts
@@ -33,7 +36,9 @@
 
 // tracked is one rollout in progress.
 type tracked struct {
+	// judge is nil until requests show which routes matter.
 	judge   *judge.Judge
+	routes  map[string]bool
 	judged  time.Time
 	last    map[canary.Key]canary.Counts
 	rate    float64
@@ -141,7 +146,6 @@
 	t := c.rollouts.tracked[order.ID]
 	if t == nil {
 		t = &tracked{baseAt: now, since: now, judged: now, last: map[canary.Key]canary.Counts{}}
-		t.judge = judge.New(judge.Alpha, c.routesOf(order.Service))
 		c.rollouts.tracked[order.ID] = t
 		c.log.Info().Str("service", order.Service).Str("version", order.Version).Dur("duration", order.Duration).
 			Uint64("order", order.ID).Msg("rollout ordered")
@@ -161,22 +165,6 @@
 // elapsed is the time since the order, also across changes of the leader.
 func (t *tracked) elapsed(now time.Time) time.Duration { return t.base + now.Sub(t.baseAt) }
 
-func (c *controller) routesOf(service string) []string {
-	var names []string
-	if c.view.configuration == nil {
-		return nil
-	}
-	for i := range c.view.configuration.Routes {
-		route := &c.view.configuration.Routes[i]
-		for _, part := range route.Parts {
-			if part.Service == service && !slices.Contains(names, route.Name) {
-				names = append(names, route.Name)
-			}
-		}
-	}
-	return names
-}
-
 // blockLocally stops sending to a version on the node's own evidence.
 func (c *controller) blockLocally(now time.Time, t *tracked, order topology.Order, local map[canary.Key]canary.Counts) {
 	if t.blocked {
@@ -215,23 +203,80 @@
 	condemned := t.blocked
 	for key, row := range sums {
 		total += row.Requests
-		if !key.Canary {
-			continue
+		if key.Canary {
+			base := key
+			base.Canary = false
+			condemned = condemned || canary.BadEverywhere(sums[base], row, len(c.view.nodes))
 		}
-		base := key
-		base.Canary = false
-		t.judge.Observe(key.Route, sums[base].Since(t.last[base]), row.Since(t.last[key]))
-		condemned = condemned || canary.BadEverywhere(sums[base], row, len(c.view.nodes))
 	}
+	t.observe(sums, total)
 	t.rate = float64(total-min(total, t.total)) / period.Seconds()
 	t.total, t.last = total, sums
-	bad, evidence := t.judge.Verdict()
+	bad, evidence := t.verdict()
 	if (bad || condemned) && !t.bad {
 		t.bad = true
 		c.log.Warn().Str("service", order.Service).Str("version", order.Version).Interface("evidence", evidence).Msg("version judged bad")
 	}
 }
 
+const (
+	// minorPart is the part of a service's requests below which a route is judged
+	// together with the other such routes: each route of its own needs more evidence of
+	// all of them.
+	minorPart = 0.02
+	// minorRoutes stands for them in the judge.
+	minorRoutes = "other routes"
+)
+
+// observe gives the judge what happened since the last look.
+func (t *tracked) observe(sums map[canary.Key]canary.Counts, total uint64) {
+	if t.judge == nil && total > 0 {
+		t.startJudge(sums, total)
+	}
+	if t.judge == nil {
+		return
+	}
+	old, fresh := map[string]outcome.Counts{}, map[string]outcome.Counts{}
+	for key, row := range sums {
+		name := key.Route
+		if !t.routes[name] {
+			name = minorRoutes
+		}
+		of := old
+		if key.Canary {
+			of = fresh
+		}
+		counts := of[name]
+		counts.Merge(row.Since(t.last[key]))
+		of[name] = counts
+	}
+	for name := range t.routes {
+		t.judge.Observe(name, old[name], fresh[name])
+	}
+	t.judge.Observe(minorRoutes, old[minorRoutes], fresh[minorRoutes])
+}
+
+// startJudge chooses the routes that are judged by themselves.
+func (t *tracked) startJudge(sums map[canary.Key]canary.Counts, total uint64) {
+	t.routes = map[string]bool{}
+	names := []string{minorRoutes}
+	for key, row := range sums {
+		if !key.Canary && float64(row.Requests) >= minorPart*float64(total) {
+			t.routes[key.Route] = true
+			names = append(names, key.Route)
+		}
+	}
+	t.judge = judge.New(judge.Alpha, names)
+}
+
+// verdict tells whether the version was found to be bad, and the evidence.
+func (t *tracked) verdict() (bool, []api.Evidence) {
+	if t.judge == nil {
+		return false, nil
+	}
+	return t.judge.Verdict()
+}
+
 func addRows(sums map[canary.Key]canary.Counts, order uint64, rows map[canary.Key]canary.Counts) {
 	for key, row := range rows {
 		if key.Order == order {
--- a/pkg/edge/sync.go
+++ b/pkg/edge/sync.go
@@ -27,6 +27,9 @@
 	if unserved || len(plan.Upstreams) == 0 {
 		plan.Upstreams = append(plan.Upstreams, c.seedNodes()...)
 	}
+	if plan.Lead && !c.rollouts.leading {
+		c.rollouts.leadSince = now
+	}
 	c.rollouts.leading = plan.Lead
 	c.watch.ranked = plan.Ranked
 	switch {
--- a/pkg/forward/hedge.go
+++ b/pkg/forward/hedge.go
@@ -1,7 +1,7 @@
 package forward
 
 import (
-	"context"
+	"slices"
 	"sync"
 	"time"
 )
@@ -20,6 +20,8 @@
 	// hedgeBudget is the part of the retry budget that second sends may use; the rest
 	// is for requests that failed.
 	hedgeBudget = 0.6
+	// lateFactor is after how many times the route's usual latency a send counts as late.
+	lateFactor = 3.0
 )
 
 // pace is the usual latency of a route.
@@ -48,6 +50,16 @@
 	return max(objective-time.Duration(hedgeReserve*float64(usual)), time.Duration(hedgePatience*float64(usual)))
 }
 
+// lateAfter returns when a send that is still running counts as late.
+func (p *pace) lateAfter(objective time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.mean == 0 {
+		return objective
+	}
+	return time.Duration(lateFactor * p.mean * float64(time.Second))
+}
+
 func (h *Handler) pace(route string) *pace {
 	known, ok := h.paces.Load(route)
 	if !ok {
@@ -62,35 +74,50 @@
 // nil when all sends failed.
 func (c *call) run(chosen *choice) *result {
 	results := make(chan *result, 2)
-	cancels := []context.CancelFunc{c.launch(chosen, results)}
-	running := 1
+	sends := []*send{c.launch(chosen, results)}
 	var late <-chan time.Time
 	if c.mayHedge() {
 		timer := time.NewTimer(c.handler.pace(c.route.Name).hedgeDelay(c.route.Objective))
 		defer timer.Stop()
 		late = timer.C
 	}
-	for running > 0 {
+	overdue := time.NewTimer(c.handler.pace(c.route.Name).lateAfter(c.route.Objective))
+	defer overdue.Stop()
+	for len(sends) > 0 {
 		select {
 		case r := <-results:
-			running--
-			if c.take(r) {
-				c.abandon(results, running, cancels, r)
+			ended := slices.IndexFunc(sends, func(s *send) bool { return s.target == r.target })
+			r.try.Late = sends[ended].try.Late
+			sends = slices.Delete(sends, ended, ended+1)
+			if r.answer != nil {
+				c.abandon(results, sends)
+				c.take(r)
 				return r
 			}
+			c.take(r)
 			r.cancel()
+		case <-overdue.C:
+			c.noteLate(sends)
 		case <-late:
 			late = nil
 			second := c.placeHedge()
 			if second != nil {
-				cancels = append(cancels, c.launch(second, results))
-				running++
+				sends = append(sends, c.launch(second, results))
 			}
 		}
 	}
 	return nil
 }
 
+// noteLate tells the observer of sends that take long while they still run. Slow answers
+// would else be known so much later than fast ones that a slow version looks fast.
+func (c *call) noteLate(running []*send) {
+	for _, s := range running {
+		s.try.Latency, s.try.Late = time.Since(s.at), true
+		c.handler.options.Observer.Late(&c.record, &s.try)
+	}
+}
+
 // mayHedge tells whether the request may be sent a second time while it runs.
 func (c *call) mayHedge() bool {
 	return c.route.Idempotent && c.rest == nil && c.route.Objective > 0 && len(c.tried)-c.unreached < c.route.Attempts
@@ -110,15 +137,18 @@
 	return second
 }
 
-// abandon ends the sends that are still running.
-func (c *call) abandon(results <-chan *result, running int, cancels []context.CancelFunc, winner *result) {
-	if running == 0 {
+// abandon ends the sends that are still running. They are recorded with the time that
+// they took so far: a target that loses to a second send is slow, and a version whose
+// slow sends were left out would look as fast as its fast ones.
+func (c *call) abandon(results <-chan *result, running []*send) {
+	if len(running) == 0 {
 		return
 	}
-	for i, cancel := range cancels {
-		if c.tried[len(c.tried)-len(cancels)+i] != winner.target {
-			cancel()
-		}
+	for _, s := range running {
+		s.cancel()
+		try := s.try
+		try.Latency, try.Overtaken, try.Failure = time.Since(s.at), true, ReasonOvertaken
+		c.record.Tries = append(c.record.Tries, try)
 	}
 	go func() {
 		for range running {
--- a/pkg/forward/place.go
+++ b/pkg/forward/place.go
@@ -56,9 +56,19 @@
 	answered int
 }
 
-// place chooses a target. Without one it returns the reason.
+// place chooses a target. Without one it returns the reason. What a version on trial has
+// no room for goes to the one in use.
 func (c *call) place() (*choice, string) {
 	pool, canary := c.draw()
+	chosen, reason := c.placeIn(pool, canary)
+	if chosen == nil && canary && c.ctx.Err() == nil {
+		c.widened = false
+		return c.placeIn(c.service.Main, false)
+	}
+	return chosen, reason
+}
+
+func (c *call) placeIn(pool []*topology.Target, canary bool) (*choice, string) {
 	reason := ReasonNoTarget
 	for range rounds {
 		asked := c.sample(pool)
--- a/pkg/forward/record.go
+++ b/pkg/forward/record.go
@@ -21,6 +21,7 @@
 	ReasonBroken          = "target broke off"
 	ReasonTargetRefused   = "target refused"
 	ReasonWrongAnswer     = "target answered with something else"
+	ReasonOvertaken       = "another target answered first"
 )
 
 // Outcomes of a request.
@@ -71,10 +72,16 @@
 	// Asked and Heard count the targets that were asked for their load and that answered.
 	Asked, Heard int
 	// Cost is the estimate made of it; Age is how old the load was.
-	Cost    float64
-	Age     time.Duration
-	Status  int
+	Cost   float64
+	Age    time.Duration
+	Status int
+	// Latency is the time until the answer, or until the send was given up.
 	Latency time.Duration
+	// Overtaken tells that another target answered first, so that Latency is less than
+	// this one would have needed.
+	Overtaken bool
+	// Late tells that the send took much longer than usual, of which Observer.Late was told.
+	Late bool
 	// Failed tells that the target did not answer well.
 	Failed bool
 	// NotRun tells that the request certainly did not run there.
@@ -86,6 +93,9 @@
 type Observer interface {
 	// Ended is called when a request has ended.
 	Ended(record *Record)
+	// Late is called once for a send that takes much longer than usual and still runs. The
+	// try's Latency is the time so far.
+	Late(record *Record, try *Try)
 	// Asked is called for each load question.
 	Asked(failed bool)
 }
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -38,23 +38,32 @@
 	}
 }
 
+// send is a send that is running. Its try is as it was at the start.
+type send struct {
+	try    Try
+	target *topology.Target
+	at     time.Time
+	cancel context.CancelFunc
+}
+
 // launch sends the request to the chosen target in the background.
-func (c *call) launch(chosen *choice, results chan<- *result) context.CancelFunc {
+func (c *call) launch(chosen *choice, results chan<- *result) *send {
 	target := chosen.target
 	c.tried = append(c.tried, target)
 	ctx, cancel := context.WithCancel(c.ctx)
 	out := c.outgoing(ctx, target)
-	r := &result{target: target, cancel: cancel, sent: time.Now(), try: Try{
+	try := Try{
 		Target: target.ID, Version: target.Version, Canary: chosen.canary, Order: c.service.Order,
 		Load: chosen.load(), Asked: chosen.asked, Heard: chosen.answered, Cost: chosen.cost,
 		Age: time.Since(chosen.at),
-	}}
+	}
+	r := &result{target: target, cancel: cancel, sent: time.Now(), try: try}
 	target.Observed.Begin()
 	go func() {
 		c.exchange(ctx, r, out)
 		results <- r
 	}()
-	return cancel
+	return &send{try: try, target: target, at: r.sent, cancel: cancel}
 }
 
 // exchange makes one send and reads the beginning of the answer. It runs beside the
@@ -137,8 +146,8 @@
 	}
 }
 
-// take notes the result of a send. It returns true when the answer can be passed on.
-func (c *call) take(r *result) bool {
+// take notes the result of a send.
+func (c *call) take(r *result) {
 	c.record.Tries = append(c.record.Tries, r.try)
 	if !r.try.NotRun {
 		c.unknown = true
@@ -146,7 +155,6 @@
 	if r.info.OtherTarget || r.try.NotRun && r.try.Status == 0 {
 		c.unreached++
 	}
-	return r.answer != nil
 }
 
 func (c *call) outgoing(ctx context.Context, target *topology.Target) *http.Request {
--- a/pkg/judge/judge.go
+++ b/pkg/judge/judge.go
@@ -14,6 +14,17 @@
 // testsPerRoute is the failure test and both slowness tests.
 const testsPerRoute = 3
 
+const (
+	// stalledFactor is how many times the old version's median a stalled answer takes. The
+	// old version has nearly none, so that few of them tell much.
+	stalledFactor = 2.5
+	// failingMargin is the ratio of failure rates that a suspicion allows. Failures, unlike
+	// slow answers, hardly depend on a target's neighbours.
+	failingMargin = 1.5
+	// minStalledReference is how many answers of the old version give a usable median.
+	minStalledReference = 20
+)
+
 // blockPeriods is how many periods the test on sustained slowness takes together.
 const blockPeriods = 10
 
@@ -31,11 +42,15 @@
 	slow      *test
 	sustained *test
 	// block is the slow answers of the present block, periods how many it has.
-	block     exposure
-	timed     int // requests of the new version with a latency
-	periods   int
-	threshold threshold
-	evidence  api.Evidence
+	block exposure
+	timed int // requests of the new version with a latency
+	// allSlow is every observation of slow answers.
+	allSlow exposure
+	// allOld and allNew are all that both versions did.
+	allOld, allNew outcome.Counts
+	periods        int
+	threshold      threshold
+	evidence       api.Evidence
 }
 
 // New returns a judge with error rate alpha over all the routes together.
@@ -70,6 +85,8 @@
 		r.observeSlow(exposure{old.Timed(), old.Above(limit), new.Timed(), new.Above(limit)})
 	}
 	r.threshold.add(old)
+	r.allOld.Merge(old)
+	r.allNew.Merge(new)
 	r.timed += new.Timed()
 	r.evidence.OldRequests += old.Requests
 	r.evidence.OldFailures += old.Failures
@@ -80,6 +97,7 @@
 func (r *route) observeSlow(e exposure) {
 	r.evidence.OldSlow += e.oldEvents
 	r.evidence.NewSlow += e.newEvents
+	r.allSlow.add(e)
 	r.slow.observe(e)
 	r.block.add(e)
 	r.periods++
@@ -109,6 +127,55 @@
 	return bad, evidence
 }
 
+// Suspicion tells what everything observed so far says against the new version.
+type Suspicion struct {
+	// Failing and Slow are the probabilities, over all routes, of failures and slow answers
+	// as uneven as those seen, or more so, where the new version's rates are at most
+	// failingMargin and SustainedMargin times the old one's.
+	Failing, Slow float64
+}
+
+// Suspicion is for one look at a moment that the observations do not choose, such as the
+// end of a stage. It needs less evidence than Verdict, which may be read at any time.
+func (j *Judge) Suspicion() Suspicion {
+	var failures, slow, stalled []exposure
+	for _, r := range j.routes {
+		if r.evidence.NewRequests == 0 {
+			continue
+		}
+		e := &r.evidence
+		failures = append(failures, exposure{e.OldRequests, e.OldFailures, e.NewRequests, e.NewFailures})
+		slow, stalled = append(slow, r.allSlow), append(stalled, r.stalled())
+	}
+	return Suspicion{
+		Failing: leastChance(failures, failingMargin, 1),
+		Slow:    min(leastChance(slow, SustainedMargin, 2), leastChance(stalled, SustainedMargin, 2)),
+	}
+}
+
+// stalled returns the stalled answers of both versions.
+func (r *route) stalled() exposure {
+	old := r.allOld.Timed()
+	if old < minStalledReference {
+		return exposure{}
+	}
+	limit := int64(stalledFactor * float64(r.allOld.Histogram.ValueAtQuantile(50)))
+	return exposure{old, r.allOld.Above(limit), r.allNew.Timed(), r.allNew.Above(limit)}
+}
+
+// leastChance is how likely routes show events as uneven as those seen on the most uneven
+// one, or on all of them together, in one of several tests.
+func leastChance(routes []exposure, margin float64, tests int) float64 {
+	var all exposure
+	least := 1.0
+	for _, e := range routes {
+		all.add(e)
+		least = min(least, e.chance(margin))
+	}
+	least = min(least, all.chance(margin))
+	return min(1, least*float64(tests*(len(routes)+1)))
+}
+
 // Exposure returns how many requests of the new version were observed on the
 // route that had the fewest, among routes with at least one in ten of the old
 // version's requests. A raise waits for evidence on each route that matters,
--- a/pkg/judge/judge_test.go
+++ b/pkg/judge/judge_test.go
@@ -167,3 +167,51 @@
 	j.Observe("rare", outcome.Counts{Requests: 5}, outcome.Counts{})
 	g.Expect(j.Exposure()).To(Equal(7))
 }
+
+// observed returns a judge that saw the same periods of both versions.
+func observed(seed uint64, periods int, old, new behaviour) *Judge {
+	random := rand.New(rand.NewPCG(seed, 0))
+	j := New(Alpha, []string{"a", "b"})
+	for range periods {
+		j.Observe("a", old.counts(random), new.counts(random))
+	}
+	return j
+}
+
+// Guards against a bad version that passes because there are too few requests for the
+// test over time, and against good versions that are suspected more often than stated.
+func TestSuspicionNeedsFewRequests(t *testing.T) {
+	const probability, seeds = 0.02, 1000
+	g := NewWithT(t)
+	old := behaviour{requests: 80}
+	count := func(new behaviour) (suspects int) {
+		for seed := range uint64(seeds) {
+			s := observed(seed, 8, old, new).Suspicion()
+			if min(s.Failing, s.Slow) <= probability {
+				suspects++
+			}
+		}
+		return suspects
+	}
+	g.Expect(count(behaviour{requests: 4, slowFactor: 4})).To(BeNumerically(">=", seeds*9/10))
+	g.Expect(count(behaviour{requests: 4, failRatio: 0.3})).To(BeNumerically(">=", seeds*9/10))
+	g.Expect(count(behaviour{requests: 4})).To(BeNumerically("<=", seeds*probability))
+	g.Expect(New(Alpha, []string{"a"}).Suspicion()).To(Equal(Suspicion{1, 1}), "nothing was seen")
+}
+
+// Guards against a slow version of a service with so few requests that the percentile above
+// which answers are slow is not known in time.
+func TestSuspicionOfSlownessAtALowRate(t *testing.T) {
+	const seeds = 300
+	g := NewWithT(t)
+	suspects := func(new behaviour) (count int) {
+		for seed := range uint64(seeds) {
+			if observed(seed, 8, behaviour{requests: 8}, new).Suspicion().Slow <= 0.02 {
+				count++
+			}
+		}
+		return count
+	}
+	g.Expect(suspects(behaviour{requests: 3, slowFactor: 8})).To(BeNumerically(">=", seeds*9/10))
+	g.Expect(suspects(behaviour{requests: 3})).To(BeNumerically("<=", seeds*0.02))
+}
--- a/pkg/judge/test.go
+++ b/pkg/judge/test.go
@@ -46,6 +46,28 @@
 	e.newEvents += other.newEvents
 }
 
+// chance is the probability of as many events of the new version, or more, of all events
+// seen, where its event rate is margin times the old one's.
+func (e exposure) chance(margin float64) float64 {
+	events := e.oldEvents + e.newEvents
+	if e.newEvents == 0 || e.oldRequests == 0 {
+		return 1
+	}
+	source := sourceProbability(e, margin)
+	sum := 0.0
+	for count := e.newEvents; count <= events; count++ {
+		sum += binomial(events, count, source)
+	}
+	return sum
+}
+
+// binomial is the probability of count successes in n trials.
+func binomial(n, count int, success float64) float64 {
+	logGamma := func(x int) float64 { value, _ := math.Lgamma(float64(x + 1)); return value }
+	choices := logGamma(n) - logGamma(count) - logGamma(n-count)
+	return math.Exp(choices + float64(count)*math.Log(success) + float64(n-count)*math.Log1p(-success))
+}
+
 // test is the e-process of one kind of event on one route.
 type test struct {
 	kind kind
--- a/pkg/topology/build.go
+++ b/pkg/topology/build.go
@@ -79,7 +79,8 @@
 		t.Services[name] = &Service{Service: service, urgent: math.MaxInt}
 	}
 	b.addTargets(t, in)
-	for _, service := range t.Services {
+	for name, service := range t.Services {
+		service.Canary = trialTargets(service.Canary, in.Steps[name].Targets)
 		b.prefer(service.Main)
 		b.prefer(service.Canary)
 	}
@@ -132,6 +133,19 @@
 	b.observed = kept
 }
 
+// trialTargets returns the targets of a version on trial that take its share; 0 stands for
+// all of them. All nodes choose the same ones, so that they carry the load of the whole
+// share.
+func trialTargets(targets []*Target, count int) []*Target {
+	if count == 0 || count >= len(targets) {
+		return targets
+	}
+	ranked := slices.SortedFunc(slices.Values(targets), func(a, b *Target) int {
+		return cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID))
+	})
+	return ranked[:count]
+}
+
 // prefer marks the node's subset of the targets by rendezvous hashing: it changes
 // little when targets or nodes come and go, and differs between nodes.
 func (b *Builder) prefer(targets []*Target) {
--- a/testbed/edge/forward_test.go
+++ b/testbed/edge/forward_test.go
@@ -48,6 +48,8 @@
 
 func (r *recorder) Asked(bool) {}
 
+func (r *recorder) Late(*forward.Record, *forward.Try) {}
+
 func (r *recorder) Ended(record *forward.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -195,6 +197,20 @@
 	}
 }
 
+// Guards against a slow target that is not counted where a second send overtakes it: a
+// version that answers half of its requests late would look as fast as the one in use.
+func TestOvertakenSendIsRecorded(t *testing.T) {
+	b := newBench(t, 2)
+	b.instances[0].SetFaults(instance.Faults{Hang: true})
+	b.g.Eventually(func() int { _, _, _ = b.call(http.MethodGet, "/safe/x", ""); return len(b.records.last().Tries) }, "10s").Should(Equal(2))
+	tries := b.records.last().Tries
+	b.g.Expect(tries[0].Target).To(Equal(b.instances[0].ID()))
+	b.g.Expect(tries[0].Overtaken).To(BeTrue())
+	b.g.Expect(tries[0].Failed).To(BeFalse(), "it may have been about to answer")
+	b.g.Expect(tries[0].Latency).To(BeNumerically(">", tries[1].Latency))
+	b.g.Expect(tries[1].Status).To(Equal(http.StatusOK))
+}
+
 // Guards against attempts beyond those of the route, and beyond the retry budget.
 func TestRepeatsStayWithinAttemptsAndBudget(t *testing.T) {
 	b := newBench(t, 5)
