--- a/testbed/soak/soak.go
+++ b/testbed/soak/soak.go
@@ -51,6 +51,7 @@
 	pending sync.WaitGroup
 	// leaving are the instances that said that they leave.
 	leaving map[int]bool
+	rollout rollout
 }
 
 // Run plays one seed.
@@ -112,6 +113,7 @@
 	}
 	s.pending.Wait()
 	s.recover()
+	s.rollout.check(s)
 	s.checkLeaving()
 	cancel()
 	running.Wait()
@@ -126,7 +128,7 @@
 func (s *soak) inject() {
 	n := s.world.nodes[s.random.IntN(nodeCount)]
 	long := 300*time.Millisecond + time.Duration(s.random.Int64N(int64(3*time.Second)))
-	switch s.random.IntN(11) {
+	switch s.random.IntN(13) {
 	case 0:
 		s.restart(n, syscall.SIGTERM, graceTime)
 	case 1:
@@ -150,6 +152,10 @@
 		s.world.store.Compact()
 	case 10:
 		s.leave()
+	case 11:
+		s.instancePath(Trouble(1+s.random.IntN(4)), long)
+	case 12:
+		s.rollout.order(s)
 	}
 }
 
@@ -166,7 +172,7 @@
 	left := s.world.instances[i]
 	if s.random.IntN(2) == 0 {
 		s.note("%s says that it leaves", left.ID())
-		s.world.register(left, "draining")
+		s.world.register(left, "v1", "draining")
 		return
 	}
 	s.note("entry of %s is removed", left.ID())
@@ -279,8 +285,25 @@
 	})
 }
 
+// unsound draws one of the first instances; the last one stays sound.
+func (s *soak) unsound() *instance.Instance {
+	return s.world.instances[s.random.IntN(instanceCount-1)]
+}
+
+// instancePath disturbs the path of all nodes to an instance.
+func (s *soak) instancePath(trouble Trouble, long time.Duration) {
+	i := s.unsound()
+	s.note("path to %s: trouble %d for %v", i.ID(), trouble, long)
+	path := s.world.paths[i]
+	path.Set(trouble)
+	s.pending.Go(func() {
+		time.Sleep(long)
+		path.Set(Calm)
+	})
+}
+
 func (s *soak) instanceFault(long time.Duration) {
-	i := s.world.instances[s.random.IntN(instanceCount-1)] // the last one stays sound
+	i := s.unsound()
 	faults := []instance.Faults{
 		{Cut: true},
 		{Short: true},
--- a/testbed/soak/world.go
+++ b/testbed/soak/world.go
@@ -33,7 +33,9 @@
 	storeAt   string
 	nodes     []*node
 	instances []*instance.Instance
-	mu        sync.Mutex
+	// paths are between the nodes and each instance.
+	paths map[*instance.Instance]*Proxy
+	mu    sync.Mutex
 	// version is that of the configuration in the store.
 	version int
 }
@@ -52,7 +54,7 @@
 }
 
 func newWorld(folder, binary string) (*world, error) {
-	w := &world{folder: folder, binary: binary, store: metastore.New()}
+	w := &world{folder: folder, binary: binary, store: metastore.New(), paths: map[*instance.Instance]*Proxy{}}
 	w.server = metastore.NewServer(w.store)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -61,12 +63,11 @@
 	go func() { _ = http.Serve(listener, w.server) }() // ends with the process
 	w.storeAt = listener.Addr().String()
 	for i := range instanceCount {
-		started, err := instance.Start(instance.Options{ID: fmt.Sprintf("i-%d", i), Slots: 6, Work: 20 * time.Millisecond, Body: answerBody})
+		started, err := w.startInstance(fmt.Sprintf("i-%d", i))
 		if err != nil {
 			return nil, err
 		}
-		w.instances = append(w.instances, started)
-		w.register(started, "ready")
+		w.register(started, "v1", "ready")
 	}
 	w.configure()
 	for i := range nodeCount {
@@ -106,10 +107,25 @@
 	return n, nil
 }
 
-func (w *world) register(i *instance.Instance, state string) {
+// startInstance starts an instance behind a path of its own.
+func (w *world) startInstance(id string) (*instance.Instance, error) {
+	started, err := instance.Start(instance.Options{ID: id, Slots: 6, Work: 20 * time.Millisecond, Body: answerBody})
+	if err != nil {
+		return nil, err
+	}
+	path, err := NewProxy(started.Address())
+	if err != nil {
+		return nil, err
+	}
+	w.instances = append(w.instances, started)
+	w.paths[started] = path
+	return started, nil
+}
+
+func (w *world) register(i *instance.Instance, version, state string) {
 	w.store.Put("servers", i.ID(), map[string]any{
-		"address": i.Address(), "born": 1700000000000,
-		"info":   map[string]any{"service": "s", "version": "v1", "zone": "dc1", "slots": 6},
+		"address": w.paths[i].Address(), "born": 1700000000000,
+		"info":   map[string]any{"service": "s", "version": version, "zone": "dc1", "slots": 6},
 		"status": map[string]any{"state": state, "seq": 1, "warmup-left-s": 0},
 	})
 }
@@ -240,6 +256,7 @@
 		n.path.Close()
 	}
 	for _, i := range w.instances {
+		w.paths[i].Close()
 		i.Stop()
 	}
 }
