--- a/pkg/forward/hedge.go
+++ b/pkg/forward/hedge.go
@@ -75,14 +75,14 @@
 func (c *call) run(chosen *choice) *result {
 	results := make(chan *result, 2)
 	sends := []*send{c.launch(chosen, results)}
-	var late <-chan time.Time
+	var hedgeDue <-chan time.Time
 	if c.mayHedge() {
 		timer := time.NewTimer(c.handler.pace(c.route.Name).hedgeDelay(c.route.Objective))
 		defer timer.Stop()
-		late = timer.C
+		hedgeDue = timer.C
 	}
-	overdue := time.NewTimer(c.handler.pace(c.route.Name).lateAfter(c.route.Objective))
-	defer overdue.Stop()
+	lateDue := time.NewTimer(c.handler.pace(c.route.Name).lateAfter(c.route.Objective))
+	defer lateDue.Stop()
 	for len(sends) > 0 {
 		select {
 		case r := <-results:
@@ -96,10 +96,10 @@
 			}
 			c.take(r)
 			r.cancel()
-		case <-overdue.C:
+		case <-lateDue.C:
 			c.noteLate(sends)
-		case <-late:
-			late = nil
+		case <-hedgeDue:
+			hedgeDue = nil
 			second := c.placeHedge()
 			if second != nil {
 				sends = append(sends, c.launch(second, results))
