Count a followed node's trouble with the store only where the own watches fail

Cause: a watcher that reaches the store follows the other watcher. Lines: the watcher had no line about a lost store, and wrote 'target gone' 2.5 s after the removal.

--- a/pkg/edge/sync.go
+++ b/pkg/edge/sync.go
@@ -139,7 +139,9 @@
 	switch {
 	case age > staleTime:
 		c.sources[node.Name] = state.Stale(now)
-		c.watch.troubleAt = now
+		if !c.reachesStore() {
+			c.watch.troubleAt = now
+		}
 	case state.IsLost():
 		c.log.Info().Str("peer", node.Name).Dur("age", age).Msg("followed node regained")
 		c.sources[node.Name] = follow.State{}
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -36,7 +36,8 @@
 type watchState struct {
 	cancel context.CancelFunc
 	// failing tells that the last call to the store failed. troubleAt is when a call
-	// failed last, of this node or of one that it follows.
+	// failed last, of this node or, while this one does not reach the store, of one that it
+	// follows.
 	failing bool
 	// ranked tells that the node is one of the watchers.
 	ranked    bool
@@ -170,6 +171,12 @@
 	return slow || !c.watch.troubleAt.IsZero() && now.Sub(c.watch.troubleAt) < lapseMemory
 }
 
+// reachesStore tells whether the node's own watches are served. Then the trouble of another
+// node with the store says nothing of the store.
+func (c *controller) reachesStore() bool {
+	return c.watch.cancel != nil && !c.watch.failing
+}
+
 // noteStore notes the result of a call to the store.
 func (c *controller) noteStore(now time.Time, err error) {
 	c.status.calls.Add(1)
