Call one piece of code where the change had written it twice

The pause of a goroutine stood five times: internal/wait serves four of them (the pause of the command line tool is a field with its own type and stays). The judge of versions derives its evidence from the counts that it keeps, and its suspicion is worked out once a look instead of at each tick. A send and its result share one type, the timer for late sends is started only for services with a rollout, which alone count them. One method tells whether a step belongs to an order. Entries of stand-in instances and loopback addresses of test nodes are made in one place each.

Left alone: the header lines that commands and packages have in common, and the error types of objectstore, transport and peer, whose fields differ.

--- a/pkg/control/watch.go
+++ b/pkg/control/watch.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/fireflychute/fireflychute/internal/wait"
 	"github.com/fireflychute/fireflychute/pkg/objectstore"
 )
 
@@ -36,7 +37,7 @@
 		objects, next, err := c.nextManifests(ctx, version)
 		c.post(func(now time.Time) { c.heardPlatform(now, err) })
 		if err != nil {
-			pause(ctx, watchRetryTime)
+			wait.For(ctx, watchRetryTime)
 			continue
 		}
 		version = max(version, next)
@@ -78,18 +79,9 @@
 			}
 		})
 		if err != nil {
-			pause(ctx, watchRetryTime)
+			wait.For(ctx, watchRetryTime)
 			continue
 		}
 		version = max(version, next)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/pkg/edge/lead.go
+++ b/pkg/edge/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/fireflychute/fireflychute/pkg/canary"
@@ -17,11 +18,8 @@
 func (c *controller) decide(ctx context.Context, now time.Time, t *tracked, order topology.Order) {
 	progress := canary.Progress{
 		Elapsed: t.elapsed(now), Duration: order.Duration, Share: t.share, Held: now.Sub(t.since),
-		Led: now.Sub(c.rollouts.leadSince), Requests: int(t.total), Rate: t.rate, Bad: t.bad || t.blocked, Failing: 1, Slow: 1,
-	}
-	if t.judge != nil {
-		suspicion := t.judge.Suspicion()
-		progress.Failing, progress.Slow = suspicion.Failing, suspicion.Slow
+		Led: now.Sub(c.rollouts.leadSince), Requests: int(t.total), Rate: t.rate, Bad: t.bad || t.blocked,
+		Failing: t.suspicion.Failing, Slow: t.suspicion.Slow,
 	}
 	present := c.targetsOf(order)
 	progress.Present = present > 0
@@ -52,7 +50,7 @@
 // isFailed tells whether the store has the step that ends a rollout as failed.
 func (c *controller) isFailed(order topology.Order) bool {
 	step, exists := c.view.steps[order.Service]
-	return exists && step.Order == order.ID && step.Version == order.Version && step.Failed
+	return exists && order.Owns(step) && step.Failed
 }
 
 // targetsOf counts the targets of the version that an order is about.
@@ -68,8 +66,8 @@
 // writeStep writes the share of a version if it differs from the one in force.
 func (c *controller) writeStep(ctx context.Context, now time.Time, t *tracked, order topology.Order, step catalog.Step) {
 	current, exists := c.view.steps[order.Service]
-	same := exists && current.Order == order.ID && current.Version == order.Version && current.Failed == step.Failed &&
-		current.Targets == step.Targets && abs(current.Share-step.Share) < shareGrain
+	same := exists && order.Owns(current) && current.Failed == step.Failed &&
+		current.Targets == step.Targets && math.Abs(current.Share-step.Share) < shareGrain
 	if same || t.write.busy || now.Before(t.write.next) {
 		return
 	}
@@ -91,8 +89,6 @@
 	})
 }
 
-func abs(value float64) float64 { return max(value, -value) }
-
 // baseOf returns the version that a rollout replaces: the one that the last step
 // left in use, or the one that most targets have.
 func (c *controller) baseOf(order topology.Order, last catalog.Step, exists bool) string {
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -37,14 +37,16 @@
 // tracked is one rollout in progress.
 type tracked struct {
 	// judge is nil until requests show which routes matter.
-	judge   *judge.Judge
-	routes  map[string]bool
-	judged  time.Time
-	last    map[canary.Key]canary.Counts
-	rate    float64
-	total   uint64
-	bad     bool
-	blocked bool
+	judge  *judge.Judge
+	routes map[string]bool
+	// suspicion is the judge's after the last look.
+	suspicion judge.Suspicion
+	judged    time.Time
+	last      map[canary.Key]canary.Counts
+	rate      float64
+	total     uint64
+	bad       bool
+	blocked   bool
 	// since is when the share in force was first seen, base the elapsed time that the
 	// step carried and when it was seen.
 	since    time.Time
@@ -145,13 +147,13 @@
 func (c *controller) track(now time.Time, order topology.Order) *tracked {
 	t := c.rollouts.tracked[order.ID]
 	if t == nil {
-		t = &tracked{baseAt: now, since: now, judged: now, last: map[canary.Key]canary.Counts{}}
+		t = &tracked{baseAt: now, since: now, judged: now, last: map[canary.Key]canary.Counts{}, suspicion: judge.NoSuspicion}
 		c.rollouts.tracked[order.ID] = t
 		c.log.Info().Str("service", order.Service).Str("version", order.Version).Dur("duration", order.Duration).
 			Uint64("order", order.ID).Msg("rollout ordered")
 	}
 	step, ok := c.view.steps[order.Service]
-	if ok && step.Order == order.ID && step.Version == order.Version {
+	if ok && order.Owns(step) {
 		if step.Share != t.share {
 			t.share, t.since = step.Share, now
 		}
@@ -254,6 +256,7 @@
 		t.judge.Observe(name, old[name], fresh[name])
 	}
 	t.judge.Observe(minorRoutes, old[minorRoutes], fresh[minorRoutes])
+	t.suspicion = t.judge.Suspicion()
 }
 
 // startJudge chooses the routes that are judged by themselves.
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -1,10 +1,6 @@
 package edge
 
-import (
-	"time"
-
-	"github.com/pkg/errors"
-)
+import "time"
 
 // Settings are what a node on the platform is started with.
 type Settings struct {
@@ -40,24 +36,3 @@
 	CanaryShare float64
 	CanarySlack float64
 }
-
-// Check refuses settings with which the node cannot work.
-func (s *Settings) Check() error {
-	required := []struct{ key, value string }{
-		{"self.node", s.Node},
-		{"self.zone", s.DataCentre},
-		{"network.listen.front", s.CallerListen},
-		{"network.listen.ready", s.ReadyListen},
-		{"network.listen.control or network.internal-ports", s.PeerListen},
-		{"provider.provider.address", s.StoreAddress},
-	}
-	for _, field := range required {
-		if field.value == "" {
-			return errors.Errorf("%s is missing", field.key)
-		}
-	}
-	if s.GraceTime <= 0 || s.RetryWindow <= 0 {
-		return errors.New("terms.bounds.grace-s and terms.bounds.budget-window-s must be above 0")
-	}
-	return nil
-}
--- a/pkg/edge/sync.go
+++ b/pkg/edge/sync.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/fireflychute/fireflychute/internal/wait"
 	"github.com/fireflychute/fireflychute/pkg/catalog"
 	"github.com/fireflychute/fireflychute/pkg/follow"
 	"github.com/fireflychute/fireflychute/pkg/message"
@@ -96,7 +97,7 @@
 		}
 		c.do(ctx, func() { c.take(time.Now(), node, answer, deltas, err) })
 		if err != nil {
-			pause(ctx, minBackoff)
+			wait.For(ctx, minBackoff)
 		}
 	}
 }
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/fireflychute/fireflychute/internal/wait"
 	"github.com/fireflychute/fireflychute/pkg/objectstore"
 	"github.com/fireflychute/fireflychute/pkg/replica"
 )
@@ -65,17 +66,17 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		if !c.mayCall(ctx, kind) {
-			pause(ctx, minBackoff)
+			wait.For(ctx, minBackoff)
 			continue
 		}
 		changed, err := c.step(ctx, kind)
 		switch {
 		case err != nil:
-			pause(ctx, backoff/2+rand.N(backoff))
+			wait.For(ctx, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, c.longestBackoff(ctx))
 		case changed:
 			backoff = minBackoff
-			pause(ctx, gatherTime)
+			wait.For(ctx, gatherTime)
 		default:
 			backoff = minBackoff
 		}
@@ -195,13 +196,3 @@
 		c.log.Info().Dur("away", now.Sub(c.watch.troubleAt)).Msg("store regained")
 	}
 }
-
-// pause waits for a time or for the end of the context.
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/pkg/forward/hedge.go
+++ b/pkg/forward/hedge.go
@@ -75,14 +75,18 @@
 func (c *call) run(chosen *choice) *result {
 	results := make(chan *result, 2)
 	sends := []*send{c.launch(chosen, results)}
-	var hedgeDue <-chan time.Time
+	pace := c.handler.pace(c.route.Name)
+	var hedgeDue, lateDue <-chan time.Time
 	if c.mayHedge() {
-		timer := time.NewTimer(c.handler.pace(c.route.Name).hedgeDelay(c.route.Objective))
+		timer := time.NewTimer(pace.hedgeDelay(c.route.Objective))
 		defer timer.Stop()
 		hedgeDue = timer.C
 	}
-	lateDue := time.NewTimer(c.handler.pace(c.route.Name).lateAfter(c.route.Objective))
-	defer lateDue.Stop()
+	if c.service.Order != 0 { // late sends are counted for rollouts only
+		timer := time.NewTimer(pace.lateAfter(c.route.Objective))
+		defer timer.Stop()
+		lateDue = timer.C
+	}
 	for len(sends) > 0 {
 		select {
 		case r := <-results:
@@ -96,7 +100,7 @@
 			}
 			c.take(r)
 			r.cancel()
-		case <-lateDue.C:
+		case <-lateDue:
 			c.noteLate(sends)
 		case <-hedgeDue:
 			hedgeDue = nil
--- a/pkg/forward/record.go
+++ b/pkg/forward/record.go
@@ -93,7 +93,8 @@
 type Observer interface {
 	// Ended is called when a request has ended.
 	Ended(record *Record)
-	// Late is called once for a send that takes much longer than usual and still runs. The
+	// Late is called once for a send of a service with a rollout that takes much longer than
+	// usual and still runs. The
 	// try's Latency is the time so far.
 	Late(record *Record, try *Try)
 	// Asked is called for each load question.
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -17,16 +17,21 @@
 // answer that breaks off before can still be replaced.
 const keptBytes = 128 << 10
 
-// result is what came of one send.
-type result struct {
+// send is a send that is running. Its try is as it was at the start.
+type send struct {
 	try    Try
 	target *topology.Target
+	at     time.Time
+	cancel context.CancelFunc
+}
+
+// result is a send and what came of it.
+type result struct {
+	send
 	// answer is set when the target answered well; kept is the beginning of its body.
 	answer *http.Response
 	kept   []byte
 	info   AnswerInfo
-	sent   time.Time
-	cancel context.CancelFunc
 }
 
 // discard ends a send whose answer is not needed.
@@ -38,32 +43,24 @@
 	}
 }
 
-// send is a send that is running. Its try is as it was at the start.
-type send struct {
-	try    Try
-	target *topology.Target
-	at     time.Time
-	cancel context.CancelFunc
-}
-
 // launch sends the request to the chosen target in the background.
 func (c *call) launch(chosen *choice, results chan<- *result) *send {
 	target := chosen.target
 	c.tried = append(c.tried, target)
 	ctx, cancel := context.WithCancel(c.ctx)
 	out := c.outgoing(ctx, target)
-	try := Try{
+	s := send{target: target, cancel: cancel, at: time.Now(), try: Try{
 		Target: target.ID, Version: target.Version, Canary: chosen.canary, Order: c.service.Order,
 		Load: chosen.load(), Asked: chosen.asked, Heard: chosen.answered, Cost: chosen.cost,
 		Age: time.Since(chosen.at),
-	}
-	r := &result{target: target, cancel: cancel, sent: time.Now(), try: try}
+	}}
+	r := &result{send: s}
 	target.Observed.Begin()
 	go func() {
 		c.exchange(ctx, r, out)
 		results <- r
 	}()
-	return &send{try: try, target: target, at: r.sent, cancel: cancel}
+	return &s
 }
 
 // exchange makes one send and reads the beginning of the answer. It runs beside the
@@ -83,7 +80,7 @@
 			failure = ReasonBroken + ": " + err.Error()
 		}
 	}
-	r.try.Latency = time.Since(r.sent)
+	r.try.Latency = time.Since(r.at)
 	if failure == "" {
 		r.answer = answer
 		return
@@ -110,7 +107,7 @@
 func (r *result) failed(ctx context.Context, err error) {
 	now := time.Now()
 	var failure *transport.Error
-	r.try.Failure, r.try.Latency = err.Error(), now.Sub(r.sent)
+	r.try.Failure, r.try.Latency = err.Error(), now.Sub(r.at)
 	r.try.NotRun = errors.As(err, &failure) && failure.NotRun
 	switch {
 	case ctx.Err() != nil:
--- a/pkg/judge/judge.go
+++ b/pkg/judge/judge.go
@@ -43,14 +43,12 @@
 	sustained *test
 	// block is the slow answers of the present block, periods how many it has.
 	block exposure
-	timed int // requests of the new version with a latency
 	// allSlow is every observation of slow answers.
 	allSlow exposure
 	// allOld and allNew are all that both versions did.
 	allOld, allNew outcome.Counts
 	periods        int
 	threshold      threshold
-	evidence       api.Evidence
 }
 
 // New returns a judge with error rate alpha over all the routes together.
@@ -60,7 +58,6 @@
 	for _, name := range routes {
 		j.routes[name] = &route{
 			failures: newTest(j.alpha, failing), slow: newTest(j.alpha, slow), sustained: newTest(j.alpha, sustainedSlow),
-			evidence: api.Evidence{Route: name},
 		}
 	}
 	return j
@@ -87,16 +84,9 @@
 	r.threshold.add(old)
 	r.allOld.Merge(old)
 	r.allNew.Merge(new)
-	r.timed += new.Timed()
-	r.evidence.OldRequests += old.Requests
-	r.evidence.OldFailures += old.Failures
-	r.evidence.NewRequests += new.Requests
-	r.evidence.NewFailures += new.Failures
 }
 
 func (r *route) observeSlow(e exposure) {
-	r.evidence.OldSlow += e.oldEvents
-	r.evidence.NewSlow += e.newEvents
 	r.allSlow.add(e)
 	r.slow.observe(e)
 	r.block.add(e)
@@ -111,12 +101,14 @@
 // all routes, the strongest first. Bad stays true once it was true. EValue is
 // scaled to be compared with 1/alpha of the whole judge.
 func (j *Judge) Verdict() (bad bool, evidence []api.Evidence) {
-	for _, r := range j.routes {
+	for name, r := range j.routes {
 		peak := max(r.failures.peak, r.slow.peak, r.sustained.peak)
 		bad = bad || peak >= 1/j.alpha
-		found := r.evidence
-		found.EValue = peak * j.scale
-		evidence = append(evidence, found)
+		evidence = append(evidence, api.Evidence{
+			Route: name, EValue: peak * j.scale,
+			OldRequests: r.allOld.Requests, OldFailures: r.allOld.Failures, OldSlow: r.allSlow.oldEvents,
+			NewRequests: r.allNew.Requests, NewFailures: r.allNew.Failures, NewSlow: r.allSlow.newEvents,
+		})
 	}
 	sort.Slice(evidence, func(a, b int) bool {
 		if evidence[a].EValue != evidence[b].EValue {
@@ -135,16 +127,18 @@
 	Failing, Slow float64
 }
 
+// NoSuspicion is that of a judge that has observed nothing.
+var NoSuspicion = Suspicion{Failing: 1, Slow: 1}
+
 // Suspicion is for one look at a moment that the observations do not choose, such as the
 // end of a stage. It needs less evidence than Verdict, which may be read at any time.
 func (j *Judge) Suspicion() Suspicion {
 	var failures, slow, stalled []exposure
 	for _, r := range j.routes {
-		if r.evidence.NewRequests == 0 {
+		if r.allNew.Requests == 0 {
 			continue
 		}
-		e := &r.evidence
-		failures = append(failures, exposure{e.OldRequests, e.OldFailures, e.NewRequests, e.NewFailures})
+		failures = append(failures, exposure{r.allOld.Requests, r.allOld.Failures, r.allNew.Requests, r.allNew.Failures})
 		slow, stalled = append(slow, r.allSlow), append(stalled, r.stalled())
 	}
 	return Suspicion{
@@ -181,23 +175,23 @@
 // version's requests. A raise waits for evidence on each route that matters,
 // without being held up by a route that is hardly called.
 func (j *Judge) Exposure() int {
-	return j.least(func(r *route) int { return r.evidence.NewRequests })
+	return j.least(func(r *route) int { return r.allNew.Requests })
 }
 
 // TimedExposure is Exposure for the requests that were judged by their latency.
 // Requests to cold targets are only judged by whether they failed.
 func (j *Judge) TimedExposure() int {
-	return j.least(func(r *route) int { return r.timed })
+	return j.least(func(r *route) int { return r.allNew.Timed() })
 }
 
 func (j *Judge) least(of func(*route) int) int {
 	total := 0
 	for _, r := range j.routes {
-		total += r.evidence.OldRequests
+		total += r.allOld.Requests
 	}
 	least := -1
 	for _, r := range j.routes {
-		minor := r.evidence.OldRequests*10 < total
+		minor := r.allOld.Requests*10 < total
 		if !minor && (least < 0 || of(r) < least) {
 			least = of(r)
 		}
--- a/pkg/topology/build.go
+++ b/pkg/topology/build.go
@@ -37,6 +37,11 @@
 	ID   uint64
 }
 
+// Owns tells whether a step is one of the order's rollout.
+func (o Order) Owns(step catalog.Step) bool {
+	return step.Order == o.ID && step.Version == o.Version
+}
+
 // Builder makes topologies and keeps what was observed of targets between them.
 // It belongs to the control goroutine.
 type Builder struct {
@@ -196,7 +201,7 @@
 			service.Main = append(service.Main, target)
 		}
 	case target.Version == order.Version:
-		if order.State == catalog.RolloutRolledBack || !stepped || step.Order != order.ID || step.Version != order.Version || step.Failed {
+		if order.State == catalog.RolloutRolledBack || !stepped || !order.Owns(step) || step.Failed {
 			return
 		}
 		service.Canary = append(service.Canary, target)
--- a/testbed/capacity/node.go
+++ b/testbed/capacity/node.go
@@ -23,9 +23,7 @@
 )
 
 const (
-	// unlimited is a rate of platform calls that no measurement reaches.
-	unlimited = 1e9
-	selfName  = "self"
+	selfName = "self"
 	// startLimit bounds the start of a node or a fleet.
 	startLimit = 60 * time.Second
 )
--- a/testbed/edge/world_test.go
+++ b/testbed/edge/world_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -19,6 +18,7 @@
 	"github.com/fireflychute/fireflychute/pkg/edge"
 	"github.com/fireflychute/fireflychute/platform"
 	"github.com/fireflychute/fireflychute/testbed/instance"
+	"github.com/fireflychute/fireflychute/testbed/loopback"
 	"github.com/fireflychute/fireflychute/testbed/metastore"
 )
 
@@ -71,25 +71,19 @@
 	return w
 }
 
-// addresses counts the loopback addresses that were handed out.
-var addresses atomic.Int64
+// loopbackNetwork is the part of the loopback network of these tests.
+const loopbackNetwork = 9
 
-// freeAddress returns an address on a loopback IP of its own: on a shared one, a port
-// that was free may be taken by an outgoing connection before the node listens.
+// freeAddress returns an address on a loopback IP of its own.
 func freeAddress(g *WithT) string {
-	number := addresses.Add(1)
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.9.%d.%d:0", number/200, number%200+1))
+	listener, err := loopback.Listen(loopbackNetwork)
 	g.Expect(err).NotTo(HaveOccurred())
 	defer listener.Close()
 	return listener.Addr().String()
 }
 
 func (w *world) register(i *instance.Instance, version, state string) {
-	w.store.Put("servers", i.ID(), map[string]any{
-		"address": i.Address(), "born": 1700000000000,
-		"info":   map[string]any{"service": "s", "version": version, "zone": "dc1", "slots": 6},
-		"status": map[string]any{"state": state, "seq": 1, "warmup-left-s": 0},
-	})
+	w.store.Put("servers", i.ID(), i.Entry(i.Address(), version, state))
 }
 
 // configure writes a configuration whose one route leads to a service.
--- a/testbed/instance/instance.go
+++ b/testbed/instance/instance.go
@@ -98,6 +98,16 @@
 // ID returns the instance's id.
 func (i *Instance) ID() string { return i.options.ID }
 
+// Entry returns what the instance writes to the platform's store when it is reached at an
+// address.
+func (i *Instance) Entry(address, version, state string) map[string]any {
+	return map[string]any{
+		"address": address, "born": 1700000000000,
+		"info":   map[string]any{"service": "s", "version": version, "zone": "dc1", "slots": i.options.Slots},
+		"status": map[string]any{"state": state, "seq": 1, "warmup-left-s": 0},
+	}
+}
+
 // SetFaults replaces the faults.
 func (i *Instance) SetFaults(faults Faults) {
 	i.mu.Lock()
--- a/testbed/metastore/history.go
+++ b/testbed/metastore/history.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"sort"
 	"strings"
 
 	"github.com/fireflychute/fireflychute/pkg/objectstore"
@@ -17,8 +16,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	events := []objectstore.Event{}
-	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].revision > after })
-	for _, c := range s.history[first:] {
+	for _, c := range s.after(after) {
 		kind, own := strings.CutPrefix(c.kind, ownPrefix)
 		if !own {
 			continue
--- a/testbed/metastore/server.go
+++ b/testbed/metastore/server.go
@@ -1,13 +1,13 @@
 package metastore
 
 import (
-	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/fireflychute/fireflychute/internal/wait"
 	"github.com/fireflychute/fireflychute/pkg/api"
 )
 
@@ -107,7 +107,7 @@
 			<-r.Context().Done()
 			return
 		}
-		if !sleep(r.Context(), v.delay) {
+		if v.delay > 0 && !wait.For(r.Context(), v.delay) {
 			return
 		}
 		switch {
@@ -166,13 +166,13 @@
 	}
 	from, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	millis, _ := strconv.Atoi(r.URL.Query().Get("wait-ms"))
-	wait := time.Duration(millis) * time.Millisecond
+	patience := time.Duration(millis) * time.Millisecond
 	if deaf {
-		sleep(r.Context(), wait)
+		wait.For(r.Context(), patience)
 		answer(w, http.StatusOK, map[string]any{"events": []Event{}, "as-of": from})
 		return
 	}
-	events, revision, ok := s.Store.watch(r.Context(), r.PathValue("kind"), from, wait)
+	events, revision, ok := s.Store.watch(r.Context(), r.PathValue("kind"), from, patience)
 	broken, _ = s.gate.ofWatches()
 	switch {
 	case broken:
@@ -288,15 +288,3 @@
 	}
 	return err == nil
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d == 0 {
-		return true
-	}
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/testbed/metastore/store.go
+++ b/testbed/metastore/store.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"math"
 	"slices"
 	"sort"
 	"sync"
@@ -108,7 +109,7 @@
 
 // List returns the objects of a kind by name, and the store's revision.
 func (s *Store) List(kind string) ([]Object, uint64) {
-	objects, _, revision := s.page(kind, "", len(s.kinds)+maxHistory)
+	objects, _, revision := s.page(kind, "", math.MaxInt)
 	return objects, revision
 }
 
@@ -130,11 +131,17 @@
 	return objects, false, s.revision
 }
 
+// after returns the changes after a revision that are still kept; the caller holds the
+// lock.
+func (s *Store) after(revision uint64) []change {
+	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].revision > revision })
+	return s.history[first:]
+}
+
 // changes reads the history; the caller holds the lock.
 func (s *Store) changes(kind string, after uint64) []Event {
 	events := []Event{}
-	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].revision > after })
-	for _, c := range s.history[first:] {
+	for _, c := range s.after(after) {
 		if c.kind == kind {
 			events = append(events, c.event)
 		}
--- a/testbed/soak/world.go
+++ b/testbed/soak/world.go
@@ -8,11 +8,11 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/fireflychute/fireflychute/testbed/instance"
+	"github.com/fireflychute/fireflychute/testbed/loopback"
 	"github.com/fireflychute/fireflychute/testbed/metastore"
 )
 
@@ -80,15 +80,8 @@
 	return w, nil
 }
 
-// loopbacks counts the loopback IPs that were handed out.
-var loopbacks atomic.Int64
-
-// ownLoopback returns any port on a loopback IP that nothing else uses, so that no
-// outgoing connection takes the port before the node listens on it again.
-func ownLoopback() string {
-	number := loopbacks.Add(1)
-	return fmt.Sprintf("127.8.%d.%d:0", number/200, number%200+1)
-}
+// loopbackNetwork is the part of the loopback network of the soak's nodes.
+const loopbackNetwork = 8
 
 func (w *world) newNode(i int) (*node, error) {
 	path, err := NewProxy(w.storeAt)
@@ -97,7 +90,7 @@
 	}
 	n := &node{name: fmt.Sprintf("n%d", i), path: path}
 	for _, address := range []*string{&n.front, &n.ready, &n.control} {
-		listener, err := net.Listen("tcp", ownLoopback())
+		listener, err := loopback.Listen(loopbackNetwork)
 		if err != nil {
 			return nil, err
 		}
@@ -123,11 +116,7 @@
 }
 
 func (w *world) register(i *instance.Instance, version, state string) {
-	w.store.Put("servers", i.ID(), map[string]any{
-		"address": w.paths[i].Address(), "born": 1700000000000,
-		"info":   map[string]any{"service": "s", "version": version, "zone": "dc1", "slots": 6},
-		"status": map[string]any{"state": state, "seq": 1, "warmup-left-s": 0},
-	})
+	w.store.Put("servers", i.ID(), i.Entry(w.paths[i].Address(), version, state))
 }
 
 // configure writes the next version. Each version adds a route that names it, by
--- a/testbed/target/server.go
+++ b/testbed/target/server.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/fireflychute/fireflychute/internal/wait"
 )
 
 // Headers that targets and nodes agreed on.
@@ -74,7 +76,7 @@
 	defer func() { t.free <- struct{}{} }()
 	id := r.Header.Get(HeaderRequestID)
 	p := t.start(id, r.URL.Path)
-	done := pause(r, p.time)
+	done := wait.For(r.Context(), p.time)
 	t.finish(done && !p.fail && !p.overloaded)
 	if !done {
 		return
@@ -160,17 +162,6 @@
 		r.InFlight, r.Queued, r.Served, r.Incarnation, r.Version, draining)
 }
 
-func pause(r *http.Request, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-r.Context().Done():
-		return false
-	}
-}
-
 // zeros is an endless reader of zero bytes.
 type zeros struct{}
 
