--- a/testbed/edge/edge_test.go
+++ b/testbed/edge/edge_test.go
@@ -191,6 +191,19 @@
 	w.g.Expect(w.call(w.nodes[0])).To(Equal(http.StatusOK))
 }
 
+// Guards (P9) against a planned stop that ends a request which takes longer than the time
+// in which the balancer takes the node out.
+func TestPlannedStopWaitsForRunningRequests(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.start()
+	w.instances[0].SetWork(time.Second)
+	status := make(chan int, 1)
+	go func() { status <- w.call(w.nodes[0]) }()
+	w.g.Eventually(w.instances[0].Runs, applied, "5ms").Should(HaveLen(1))
+	w.nodes[0].signals <- syscall.SIGTERM
+	w.g.Eventually(status, "4s").Should(Receive(Equal(http.StatusOK)))
+}
+
 // Guards against SIGHUP ending the process or a request.
 func TestReloadKeepsServing(t *testing.T) {
 	w := newWorld(t, 1, 1)
--- a/testbed/edge/forward_test.go
+++ b/testbed/edge/forward_test.go
@@ -288,6 +288,19 @@
 	b.g.Expect(len(b.instances[0].Runs())).To(BeNumerically("<=", 2))
 }
 
+// Guards (P2) against a cold target receiving more than its turns because no other takes
+// the requests. The bench's targets bear one request a second while they are cold.
+func TestColdInstanceAloneGetsItsTurnsOnly(t *testing.T) {
+	b := newBench(t, 1)
+	b.instances[0].SetCold(time.Minute)
+	began := time.Now()
+	for range 30 {
+		status, _, _ := b.call(http.MethodGet, "/safe/x", "")
+		b.g.Expect(status).To(BeElementOf(http.StatusOK, http.StatusServiceUnavailable))
+	}
+	b.g.Expect(float64(len(b.instances[0].Runs()))).To(BeNumerically("<=", 1+time.Since(began).Seconds()))
+}
+
 // Guards against requests that wait until their deadline when the node knows at once
 // that it cannot serve them.
 func TestRefusedAtOnce(t *testing.T) {
--- a/testbed/instance/instance.go
+++ b/testbed/instance/instance.go
@@ -63,6 +63,7 @@
 	server   *http.Server
 
 	mu        sync.Mutex
+	work      time.Duration
 	faults    Faults
 	running   int
 	coldUntil time.Time
@@ -77,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	i := &Instance{options: options, listener: listener}
+	i := &Instance{options: options, listener: listener, work: options.Work}
 	i.server = &http.Server{Handler: i, ConnState: func(_ net.Conn, state http.ConnState) {
 		if state == http.StateNew {
 			i.mu.Lock()
@@ -115,6 +116,13 @@
 	i.faults = faults
 }
 
+// SetWork replaces the time of one request.
+func (i *Instance) SetWork(work time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.work = work
+}
+
 // SetCold makes the instance say that it is cold for a time.
 func (i *Instance) SetCold(left time.Duration) {
 	i.mu.Lock()
@@ -175,6 +183,7 @@
 	i.mu.Lock()
 	i.running++
 	i.runs = append(i.runs, Run{id, r.Method, r.URL.RequestURI(), string(body), time.Now()})
+	work := i.work
 	i.mu.Unlock()
 	defer func() {
 		i.mu.Lock()
@@ -182,7 +191,7 @@
 		i.mu.Unlock()
 	}()
 	select {
-	case <-time.After(i.options.Work):
+	case <-time.After(work):
 	case <-r.Context().Done():
 		return
 	}
--- a/testbed/soak/soak.go
+++ b/testbed/soak/soak.go
@@ -325,7 +325,7 @@
 	})
 }
 
-// watchConfiguration checks that a node in touch follows the configuration and never
+// watchConfiguration checks that an undisturbed node follows the configuration and never
 // goes back in one start.
 func (s *soak) watchConfiguration(ctx context.Context) {
 	type seen struct {
