Place requests by the time they would take against the objective

Cause: placement compared targets but never asked whether the best one would be in time.

Change: pkg/placement learns the work of a route and what load costs (Model; 1.7 and 2.0 are now first guesses), and tells whether a candidate would be in time. A request that can still be in time waits at the node (Waitlist: urgent first, then newest; only the first looks for room), a late one takes free slots but not slow ones, and what can't be served before its deadline is refused at once. A caller that targets with room refused is asked back at once. The usual timeout of a route's callers tells how old a returning request is. Questions come in rounds: 3 of the node's subset, then the rest, then all. Subsets are picked by the targets, so all are in equally many, with about 4 a node instead of 24. A request looks at a bounded number of targets, where it walked all of them.

--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -102,7 +103,7 @@
 	now := time.Now()
 	for name, service := range view.Services {
 		counts := map[string]int64{"Warm": 0, "Cold": 0, "Leaving": 0}
-		for _, target := range append(service.Main[:len(service.Main):len(service.Main)], service.Canary...) {
+		for _, target := range slices.Concat(service.Main.All(), service.Canary.All()) {
 			seen := target.Observed.View(now)
 			switch {
 			case seen.Leaving:
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -154,7 +154,7 @@
 	}
 	input := topology.Input{
 		Now: now, Configuration: c.view.configuration, Orders: c.view.orders, Evacuated: c.view.evacuated,
-		Steps: c.effectiveSteps(), Fleet: max(1, len(c.view.nodes)),
+		Steps: c.effectiveSteps(), Nodes: c.view.nodes,
 	}
 	names := make([]string, 0, len(c.view.targets))
 	for name := range c.view.targets {
@@ -167,10 +167,10 @@
 		}
 	}
 	if c.published.Load() == nil {
-		c.log.Info().Int("targets", len(input.Targets)).Int("fleet", input.Fleet).Msg("node ready")
+		c.log.Info().Int("targets", len(input.Targets)).Int("fleet", len(input.Nodes)).Msg("node ready")
 	}
 	c.published.Store(c.builder.Build(input))
 	c.status.published.Add(1)
 	c.status.revision.Store(int64(c.view.revision))
-	c.status.fleet.Store(int64(input.Fleet))
+	c.status.fleet.Store(int64(len(input.Nodes)))
 }
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -24,6 +24,9 @@
 	route    *topology.Route
 	service  *topology.Service
 	state    *serviceState
+	learned  *routeState
+	// age is the time since the caller's first attempt, of which this may be a later one.
+	age      time.Duration
 	began    time.Time
 	deadline time.Time
 	ctx      context.Context
@@ -36,8 +39,6 @@
 	tried []*topology.Target
 	// unreached counts the targets in tried that did not get the request.
 	unreached int
-	// widened tells that the preferred targets had no room, so all are asked.
-	widened bool
 	// unknown tells that an earlier send may have run.
 	unknown bool
 	record  Record
@@ -92,7 +93,7 @@
 	c.state = c.handler.service(c.service.Name)
 	c.state.window.Request(c.began)
 	for {
-		chosen, reason := c.place()
+		chosen, reason := c.placeOrWait()
 		if chosen == nil {
 			c.giveUp(reason)
 			return
@@ -154,14 +155,23 @@
 // refuse answers a request that has not run. It returns false for its callers' sake.
 func (c *call) refuse(status int, reason string) bool {
 	if status == http.StatusServiceUnavailable {
-		pressure := c.handler.service(c.record.Service).pressure
-		pressure.Note(true)
-		after := pressure.Return(withRandom(c.handler, randomFraction))
+		after := c.returnTime(reason)
 		c.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
 	return c.answer(status, OutcomeNotRun, reason)
 }
 
+// returnTime is when a caller that is refused should come back.
+func (c *call) returnTime(reason string) time.Duration {
+	state := c.handler.service(c.record.Service)
+	draw := withRandom(c.handler, randomFraction)
+	if reason == ReasonAttempts || reason == ReasonBudget {
+		return state.pressure.ReturnFromTargets(draw)
+	}
+	state.pressure.Note(true)
+	return state.pressure.Return(draw)
+}
+
 // answer sends an answer of the node's own.
 func (c *call) answer(status int, outcome, reason string) bool {
 	c.record.Status, c.record.Outcome, c.record.Reason = status, outcome, reason
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -35,7 +35,7 @@
 	randomMu sync.Mutex
 	random   *rand.Rand
 	services sync.Map // service name -> *serviceState
-	paces    sync.Map // route name -> *pace
+	routes   sync.Map // route name -> *routeState
 	inFlight atomic.Int64
 	stopping atomic.Bool
 	refusing atomic.Bool
@@ -66,6 +66,7 @@
 type serviceState struct {
 	window   *retry.Window
 	pressure *placement.Pressure
+	waiting  placement.Waitlist
 }
 
 func (h *Handler) service(name string) *serviceState {
@@ -117,6 +118,8 @@
 		return c.refuse(http.StatusNotFound, ReasonNoRoute)
 	}
 	c.record.Route = c.route.Name
+	c.learned = h.route(c.route.Name)
+	c.age = c.learned.timeouts.Age(info.Timeout)
 	c.deadline = c.began.Add(c.route.Timeout)
 	if info.Timeout > 0 && info.Timeout < c.route.Timeout {
 		c.deadline = c.began.Add(info.Timeout)
--- a/pkg/forward/hedge.go
+++ b/pkg/forward/hedge.go
@@ -60,14 +60,6 @@
 	return time.Duration(lateFactor * p.mean * float64(time.Second))
 }
 
-func (h *Handler) pace(route string) *pace {
-	known, ok := h.paces.Load(route)
-	if !ok {
-		known, _ = h.paces.LoadOrStore(route, &pace{})
-	}
-	return known.(*pace)
-}
-
 // run sends the request to the chosen target and, when an idempotent request takes
 // much longer than usual, to a second one: targets whose machine turns slow for a
 // moment after the send cannot be told before. It returns the first good result, or
@@ -75,7 +67,7 @@
 func (c *call) run(chosen *choice) *result {
 	results := make(chan *result, 2)
 	sends := []*send{c.launch(chosen, results)}
-	pace := c.handler.pace(c.route.Name)
+	pace := &c.learned.pace
 	var hedgeDue, lateDue <-chan time.Time
 	if c.mayHedge() {
 		timer := time.NewTimer(pace.hedgeDelay(c.route.Objective))
@@ -130,8 +122,8 @@
 // placeHedge chooses the target of a second send: one with a free slot, as long as
 // the budget allows it.
 func (c *call) placeHedge() *choice {
-	second, _ := c.place()
-	if second == nil || second.candidate.Running >= second.candidate.Slots {
+	second, _ := c.place(roundFirst)
+	if second == nil || second.candidate.Running >= second.candidate.Slots || !c.state.waiting.IsEmpty() {
 		return nil
 	}
 	options := &c.handler.options
--- /dev/null
+++ b/pkg/forward/sample.go
@@ -0,0 +1,166 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/placement"
+	"github.com/fireflychute/fireflychute/pkg/topology"
+)
+
+const (
+	// firstQuestions is how many targets are asked for their load before a send,
+	// furtherQuestions how many more if none of those is well suited.
+	firstQuestions   = 3
+	furtherQuestions = 5
+	// probesPerQuestion is how many random targets are looked at for each one to ask
+	// before all are gone through.
+	probesPerQuestion = 4
+)
+
+func randomFraction(random *rand.Rand) float64 { return random.Float64() }
+
+// draw returns the targets of the version to which the request goes. When a
+// version that is rolled out has no target for the request, the one in use takes it.
+func (c *call) draw() (*topology.Pool, bool) {
+	canary := false
+	pool := withRandom(c.handler, func(random *rand.Rand) *topology.Pool {
+		var drawn *topology.Pool
+		drawn, canary = c.service.Draw(random)
+		return drawn
+	})
+	if canary && len(c.tried) > 0 {
+		// A request that failed once is not sent to a version on trial again.
+		return &c.service.Main, false
+	}
+	return pool, canary
+}
+
+// round is how far a request has gone in its search for a target.
+type round int
+
+// Rounds of questions. The node keeps connections to the targets of its subset, so the
+// others are asked only when none of those can serve the request in time.
+const (
+	roundFirst round = iota
+	roundSubset
+	roundAll
+	roundsDone
+)
+
+// sample returns the targets to ask in a round, of those that may take the request.
+func (c *call) sample(pool *topology.Pool, at round, asked []heard) []*topology.Target {
+	s := &sampler{call: c, now: time.Now(), asked: asked}
+	switch at {
+	case roundFirst:
+		return s.draw(pool.Subset, firstQuestions)
+	case roundSubset:
+		return s.draw(pool.Subset, furtherQuestions)
+	default:
+		near := max(placement.LocalQuestions(furtherQuestions), furtherQuestions-len(pool.Remote))
+		drawn := s.draw(pool.Local, near)
+		drawn = append(drawn, s.draw(pool.Remote, furtherQuestions-len(drawn))...)
+		if len(drawn) == 0 && len(asked) == 0 {
+			return s.search(pool, furtherQuestions)
+		}
+		return drawn
+	}
+}
+
+// sampler draws the targets of one round of questions.
+type sampler struct {
+	call  *call
+	now   time.Time
+	asked []heard
+	drawn []*topology.Target
+}
+
+// draw returns up to count random targets that may be asked, those without a request of
+// this node first: a connection to them is free, and they are less loaded. It looks at a
+// bounded number of targets, so that a request does not cost more with more targets.
+func (s *sampler) draw(targets []*topology.Target, count int) []*topology.Target {
+	order := withRandom(s.call.handler, func(random *rand.Rand) []int {
+		return placement.SampleIndices(random, len(targets), probesPerQuestion*count)
+	})
+	var drawn, engaged []*topology.Target
+	for _, i := range order {
+		if len(drawn) >= count {
+			break
+		}
+		switch s.usable(targets[i]) {
+		case targetUsable:
+			drawn = append(drawn, targets[i])
+		case targetEngaged:
+			engaged = append(engaged, targets[i])
+		}
+	}
+	missing := min(count-len(drawn), len(engaged))
+	return append(drawn, engaged[:missing]...)
+}
+
+// search goes through all targets; those that did not answer lately are the last resort.
+func (s *sampler) search(pool *topology.Pool, count int) []*topology.Target {
+	var usable, held []*topology.Target
+	for _, targets := range [][]*topology.Target{pool.Local, pool.Remote} {
+		for _, target := range targets {
+			switch s.usable(target) {
+			case targetUsable, targetEngaged:
+				usable = append(usable, target)
+			case targetHeld:
+				held = append(held, target)
+			}
+		}
+	}
+	if len(usable) == 0 {
+		usable = held
+	}
+	return withRandom(s.call.handler, func(random *rand.Rand) []*topology.Target {
+		return placement.Sample(random, usable, count)
+	})
+}
+
+// usability tells whether a target may be asked for a request: held ones did not answer
+// lately, engaged ones have a request of this node.
+type usability int
+
+const (
+	targetUnusable usability = iota
+	targetHeld
+	targetEngaged
+	targetUsable
+)
+
+func (s *sampler) usable(target *topology.Target) usability {
+	if !s.call.route.Allows(target) || s.call.wasTried(target) || s.wasAsked(target) {
+		return targetUnusable
+	}
+	view := target.Observed.View(s.now)
+	switch {
+	case view.Leaving || !target.Observed.MayTake(s.now):
+		return targetUnusable
+	case view.Held:
+		return targetHeld
+	case view.Pending > 0:
+		return targetEngaged
+	default:
+		return targetUsable
+	}
+}
+
+func (s *sampler) wasAsked(target *topology.Target) bool {
+	for i := range s.asked {
+		if s.asked[i].target.Observed == target.Observed {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *call) wasTried(target *topology.Target) bool {
+	for _, tried := range c.tried {
+		if tried.Observed == target.Observed {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fireflychute/fireflychute/pkg/hopbyhop"
+	"github.com/fireflychute/fireflychute/pkg/placement"
 	"github.com/fireflychute/fireflychute/pkg/topology"
 	"github.com/fireflychute/fireflychute/pkg/transport"
 )
@@ -19,10 +20,12 @@
 
 // send is a send that is running. Its try is as it was at the start.
 type send struct {
-	try    Try
-	target *topology.Target
-	at     time.Time
-	cancel context.CancelFunc
+	try Try
+	// candidate is the load on which the target was chosen.
+	candidate placement.Candidate
+	target    *topology.Target
+	at        time.Time
+	cancel    context.CancelFunc
 }
 
 // result is a send and what came of it.
@@ -49,7 +52,7 @@
 	c.tried = append(c.tried, target)
 	ctx, cancel := context.WithCancel(c.ctx)
 	out := c.outgoing(ctx, target)
-	s := send{target: target, cancel: cancel, at: time.Now(), try: Try{
+	s := send{target: target, candidate: chosen.candidate, cancel: cancel, at: time.Now(), try: Try{
 		Target: target.ID, Version: target.Version, Canary: chosen.canary, Order: c.service.Order,
 		Load: chosen.load(), Asked: chosen.asked, Heard: chosen.answered, Cost: chosen.cost,
 		Age: time.Since(chosen.at),
@@ -58,6 +61,7 @@
 	target.Observed.Begin()
 	go func() {
 		c.exchange(ctx, r, out)
+		c.state.waiting.Freed()
 		results <- r
 	}()
 	return &s
@@ -146,6 +150,7 @@
 // take notes the result of a send.
 func (c *call) take(r *result) {
 	c.record.Tries = append(c.record.Tries, r.try)
+	c.state.pressure.NoteSend(r.info.NotRun)
 	if !r.try.NotRun {
 		c.unknown = true
 	}
@@ -199,7 +204,8 @@
 	c.record.Outcome = OutcomeAnswered
 	r.target.Observed.End(time.Now(), failed)
 	if !failed {
-		c.handler.pace(c.route.Name).add(r.try.Latency)
+		c.learned.pace.add(r.try.Latency)
+		c.learned.model.Learn(r.candidate, r.try.Latency)
 		c.state.pressure.Note(false)
 	}
 }
--- /dev/null
+++ b/pkg/forward/wait.go
@@ -0,0 +1,62 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/placement"
+)
+
+// lookTime is how often the first waiting request looks for room that other nodes'
+// requests left.
+const lookTime = 40 * time.Millisecond
+
+// placeOrWait chooses a target. Where none has room it waits as long as the answer can
+// still be in time; a request that will be late or can't be served is given up at once.
+func (c *call) placeOrWait() (*choice, string) {
+	list := &c.state.waiting
+	var waiter *placement.Waiter
+	from := roundFirst
+	for {
+		chosen, reason := c.place(from)
+		patience := c.learned.model.Patience(c.need(time.Now()))
+		if chosen != nil || reason == ReasonTimeout || patience <= 0 {
+			if waiter != nil {
+				list.Leave(waiter)
+			}
+			return chosen, reason
+		}
+		if waiter == nil {
+			waiter = list.Join(c.route.Priority)
+		}
+		c.sleep(list, waiter, patience)
+		from = roundAll
+	}
+}
+
+// sleep waits until the request is to look for room again.
+func (c *call) sleep(list *placement.Waitlist, waiter *placement.Waiter, patience time.Duration) {
+	look := lookTime/2 + withRandom(c.handler, func(random *rand.Rand) time.Duration {
+		return time.Duration(random.Int64N(int64(lookTime)))
+	})
+	ended := time.NewTimer(patience)
+	defer ended.Stop()
+	for {
+		timer := time.NewTimer(look)
+		select {
+		case <-waiter.Wake():
+			timer.Stop()
+			return
+		case <-ended.C:
+			timer.Stop()
+			return
+		case <-c.ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+			if list.IsFirst(waiter) {
+				return
+			}
+		}
+	}
+}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -12,10 +12,6 @@
 const (
 	// busyShare is the share of used slots above which targets slow down.
 	busyShare = 0.8
-	// busyFactor is how much slower a target with more used slots is taken to be.
-	busyFactor = 1.7
-	// coldFactor is how much slower a cold target is taken to be.
-	coldFactor = 2.0
 	// failureCost is how many times longer a request takes that fails every time,
 	// so that targets which fail fast do not look fast.
 	failureCost = 12.0
@@ -40,24 +36,17 @@
 	FailureRate float64
 }
 
-// Cost estimates how long a request takes at the candidate, 1 at an idle target.
-func Cost(c Candidate) float64 {
-	slots := max(1, c.Slots)
+func (c Candidate) slots() int { return max(1, c.Slots) }
+
+// nearlyFull tells whether one more request uses so many slots that all become slower.
+func (c Candidate) nearlyFull() bool {
 	ahead := c.Running + c.Waiting
-	cost := c.Slowness
-	if float64(ahead+1) > busyShare*float64(slots) {
-		cost *= busyFactor
-	}
-	if queued := ahead + 1 - slots; queued > 0 {
-		cost *= 1 + float64(queued)/float64(slots)
-	}
-	if c.Cold {
-		cost *= coldFactor
-	}
-	if !c.Local {
-		cost *= localGain
-	}
-	return cost * (1 + failureCost*c.FailureRate)
+	return ahead > 0 && float64(ahead+1) > busyShare*float64(c.slots())
+}
+
+// queued is how many requests wait for a slot once one more is sent.
+func (c Candidate) queued() int {
+	return max(0, c.Running+c.Waiting+1-c.slots())
 }
 
 // HasRoom tells whether a candidate takes one more request within a limit of
@@ -78,21 +67,11 @@
 	return max(1, slots+int(queueShare*float64(slots))-reserve)
 }
 
-// SampleNear draws up to count random elements, most of them local ones where there
-// are enough. Bytes between data centres cost, and the load does not differ between
-// them as long as each has targets with room.
-func SampleNear[T any](random *rand.Rand, all []T, count int, local func(T) bool) []T {
-	var near, far []T
-	for _, element := range all {
-		if local(element) {
-			near = append(near, element)
-		} else {
-			far = append(far, element)
-		}
-	}
-	wanted := max(int(math.Ceil(localQuestions*float64(count))), count-len(far))
-	drawn := Sample(random, near, wanted)
-	return append(drawn[:len(drawn):len(drawn)], Sample(random, far, count-len(drawn))...)
+// LocalQuestions returns how many of count questions go to targets in the same data
+// centre. Bytes between data centres cost, and the load does not differ between them as
+// long as each has targets with room.
+func LocalQuestions(count int) int {
+	return int(math.Ceil(localQuestions * float64(count)))
 }
 
 // Sample moves up to count random elements to the front and returns them.
@@ -104,3 +83,22 @@
 	}
 	return all[:count]
 }
+
+// SampleIndices returns up to count different random numbers below n, in random order.
+func SampleIndices(random *rand.Rand, n, count int) []int {
+	count = min(count, n)
+	moved := make(map[int]int, count)
+	at := func(i int) int {
+		if value, ok := moved[i]; ok {
+			return value
+		}
+		return i
+	}
+	drawn := make([]int, count)
+	for i := range count {
+		j := i + random.IntN(n-i)
+		drawn[i] = at(j)
+		moved[j] = at(i)
+	}
+	return drawn
+}
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -25,7 +25,7 @@
 			g := NewWithT(t)
 			c := idle()
 			change(&c)
-			g.Expect(Cost(c)).To(BeNumerically(">", Cost(idle())))
+			g.Expect(NewModel().Weigh(c)).To(BeNumerically(">", NewModel().Weigh(idle())))
 		})
 	}
 }
@@ -36,7 +36,7 @@
 	g := NewWithT(t)
 	local, remote := idle(), idle()
 	local.Slowness, remote.Local = 1.5, false
-	g.Expect(Cost(remote)).To(BeNumerically("<", Cost(local)))
+	g.Expect(NewModel().Weigh(remote)).To(BeNumerically("<", NewModel().Weigh(local)))
 }
 
 // Guards against overload in which less urgent requests fill the queues before more
@@ -83,34 +83,22 @@
 	g.Expect(Sample(random, []int{1}, 5)).To(HaveLen(1))
 }
 
-// Guards against questions that all go to other data centres, and against targets
-// there that are never asked.
-func TestMostQuestionsAreLocal(t *testing.T) {
-	for name, c := range map[string]struct{ near, far, drawn, local int }{
-		"both":      {10, 10, 5, 3},
-		"few near":  {1, 10, 5, 1},
-		"few far":   {10, 1, 5, 4},
-		"none near": {0, 10, 5, 0},
-		"few":       {1, 1, 2, 1},
-	} {
-		t.Run(name, func(t *testing.T) {
-			g := NewWithT(t)
-			all := []int{}
-			for i := range c.near {
-				all = append(all, i)
-			}
-			for i := range c.far {
-				all = append(all, 100+i)
-			}
-			drawn := SampleNear(rand.New(rand.NewPCG(1, 2)), all, 5, func(i int) bool { return i < 100 })
-			local := 0
-			for _, i := range drawn {
-				if i < 100 {
-					local++
-				}
-			}
-			g.Expect(drawn).To(HaveLen(c.drawn))
-			g.Expect(local).To(Equal(c.local))
-		})
+// Guards against a sample of positions with repeats or without some of them.
+func TestSampledIndicesAreUniformWithoutRepeats(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	counts := map[int]int{}
+	for range 10_000 {
+		seen := map[int]bool{}
+		for _, drawn := range SampleIndices(random, 8, 3) {
+			g.Expect(seen[drawn]).To(BeFalse())
+			seen[drawn] = true
+			counts[drawn]++
+		}
+	}
+	for drawn := range 8 {
+		g.Expect(counts[drawn]).To(BeNumerically("~", 3750, 250))
 	}
+	g.Expect(SampleIndices(random, 2, 5)).To(ConsistOf(0, 1))
+	g.Expect(SampleIndices(random, 0, 5)).To(BeEmpty())
 }
--- a/pkg/placement/pressure.go
+++ b/pkg/placement/pressure.go
@@ -13,6 +13,8 @@
 	// requests are refused and callers would only be refused again.
 	minReturn = 120 * time.Millisecond
 	maxReturn = 600 * time.Millisecond
+	// soonReturn is the shortest time, for callers that were refused by bad luck.
+	soonReturn = 20 * time.Millisecond
 	// returnSpread is the part of that time over which returns are spread.
 	returnSpread = 0.6
 )
@@ -21,22 +23,50 @@
 type Pressure struct {
 	mu      sync.Mutex
 	refused float64
+	// rejected is the share of the sends that targets refused although they had room.
+	rejected float64
 }
 
 // Note takes in one request.
 func (p *Pressure) Note(refused bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.refused *= 1 - pressureWeight
-	if refused {
-		p.refused += pressureWeight
+	p.refused = noted(p.refused, refused)
+}
+
+// NoteSend takes in one send to a target.
+func (p *Pressure) NoteSend(rejected bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rejected = noted(p.rejected, rejected)
+}
+
+func noted(share float64, happened bool) float64 {
+	share *= 1 - pressureWeight
+	if happened {
+		share += pressureWeight
 	}
+	return share
 }
 
 // Return tells a refused caller when to come back. draw is a random number from 0 to 1.
 func (p *Pressure) Return(draw float64) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	longest := minReturn + time.Duration(p.refused*float64(maxReturn-minReturn))
-	return longest + time.Duration((draw-0.5)*returnSpread*float64(longest))
+	return spread(minReturn+time.Duration(p.refused*float64(maxReturn-minReturn)), draw)
+}
+
+// ReturnFromTargets is Return for a caller whose request was refused by targets that had
+// room. Its next attempt is as likely to be served as any, so it comes back at once, and
+// later only while targets refuse nearly everything.
+func (p *Pressure) ReturnFromTargets(draw float64) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	share := p.rejected * p.rejected
+	return spread(soonReturn+time.Duration(share*share*float64(maxReturn-soonReturn)), draw)
+}
+
+// spread returns a time around the given one, so that callers do not return together.
+func spread(around time.Duration, draw float64) time.Duration {
+	return around + time.Duration((draw-0.5)*returnSpread*float64(around))
 }
--- a/pkg/placement/pressure_test.go
+++ b/pkg/placement/pressure_test.go
@@ -23,3 +23,18 @@
 	}
 	g.Expect(p.Return(0.5)).To(BeNumerically("<", 2*calm))
 }
+
+// Guards against callers that wait although the service has room: targets that refuse a
+// part of their requests at random refuse the next attempt no more than any other.
+func TestCallersRefusedByTargetsReturnAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	p := &Pressure{}
+	for i := range 200 {
+		p.NoteSend(i%2 == 0)
+	}
+	g.Expect(p.ReturnFromTargets(0.5)).To(BeNumerically("<", minReturn))
+	for range 200 {
+		p.NoteSend(true)
+	}
+	g.Expect(p.ReturnFromTargets(0.5)).To(BeNumerically("~", maxReturn, maxReturn/50))
+}
--- a/pkg/topology/build.go
+++ b/pkg/topology/build.go
@@ -25,8 +25,8 @@
 	Orders    map[string]Order
 	Steps     map[string]catalog.Step
 	Evacuated map[string]bool
-	// Fleet is the number of nodes.
-	Fleet int
+	// Nodes are the nodes of the fleet, this one included.
+	Nodes []catalog.Node
 }
 
 // Order is a rollout with the name of its object and an identity that differs
@@ -60,11 +60,6 @@
 
 type versionKey struct{ service, version string }
 
-// subsetSize is how many targets of a version a node prefers. A node that asks all
-// of some hundred targets comes to each so seldom that its connections have been
-// closed by then, and each question costs a new one.
-const subsetSize = 24
-
 // NewBuilder returns a builder for a node in a data centre. regions has the region
 // of each data centre.
 func NewBuilder(node, dataCentre string, regions map[string]string) *Builder {
@@ -77,17 +72,18 @@
 // Build returns the topology of an input.
 func (b *Builder) Build(in Input) *Topology {
 	t := &Topology{
-		Configuration: in.Configuration, Fleet: max(1, in.Fleet),
+		Configuration: in.Configuration, Fleet: max(1, len(in.Nodes)),
 		Services: map[string]*Service{}, hosts: map[string][]*Route{},
 	}
 	for name, service := range in.Configuration.Services {
 		t.Services[name] = &Service{Service: service, urgent: math.MaxInt}
 	}
 	b.addTargets(t, in)
+	subsets := newSubsets(b.node, b.dataCentre, in.Nodes)
 	for name, service := range t.Services {
-		service.Canary = trialTargets(service.Canary, in.Steps[name].Targets)
-		b.prefer(service.Main)
-		b.prefer(service.Canary)
+		service.Canary.trialTargets(in.Steps[name].Targets)
+		subsets.choose(&service.Main)
+		subsets.choose(&service.Canary)
 	}
 	for _, route := range in.Configuration.Routes {
 		t.addRoute(route)
@@ -138,30 +134,19 @@
 	b.observed = kept
 }
 
-// trialTargets returns the targets of a version on trial that take its share; 0 stands for
+// trialTargets leaves the targets of a version on trial that take its share; 0 stands for
 // all of them. All nodes choose the same ones, so that they carry the load of the whole
 // share.
-func trialTargets(targets []*Target, count int) []*Target {
-	if count == 0 || count >= len(targets) {
-		return targets
+func (p *Pool) trialTargets(count int) {
+	if count == 0 || count >= p.Len() {
+		return
 	}
-	ranked := slices.SortedFunc(slices.Values(targets), func(a, b *Target) int {
+	ranked := slices.SortedFunc(slices.Values(p.All()), func(a, b *Target) int {
 		return cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID))
 	})
-	return ranked[:count]
-}
-
-// prefer marks the node's subset of the targets by rendezvous hashing: it changes
-// little when targets or nodes come and go, and differs between nodes.
-func (b *Builder) prefer(targets []*Target) {
-	ranked := slices.Clone(targets)
-	weights := make(map[*Target]uint64, len(ranked))
-	for _, target := range ranked {
-		weights[target] = xxhash.Sum64String(b.node + "\x00" + target.ID)
-	}
-	slices.SortFunc(ranked, func(a, b *Target) int { return cmp.Compare(weights[b], weights[a]) })
-	for i, target := range ranked {
-		target.Preferred = i < subsetSize
+	*p = Pool{}
+	for _, target := range ranked[:count] {
+		p.add(target)
 	}
 }
 
@@ -195,21 +180,21 @@
 		if !b.isSettled(in.Now, target) {
 			return
 		}
-		service.Main = append(service.Main, target)
+		service.Main.add(target)
 	case order.State == catalog.RolloutComplete:
 		if target.Version == order.Version {
-			service.Main = append(service.Main, target)
+			service.Main.add(target)
 		}
 	case target.Version == order.Version:
 		if order.State == catalog.RolloutRolledBack || !stepped || !order.Owns(step) || step.Failed {
 			return
 		}
-		service.Canary = append(service.Canary, target)
+		service.Canary.add(target)
 		service.CanaryShare, service.CanaryVersion, service.Order = step.Share, order.Version, order.ID
 	case stepped && step.Base != "" && target.Version != step.Base:
 		return // left over from a rollout that another order replaced
 	default:
-		service.Main = append(service.Main, target)
+		service.Main.add(target)
 	}
 }
 
--- a/pkg/topology/build_test.go
+++ b/pkg/topology/build_test.go
@@ -27,15 +27,23 @@
 	return catalog.Target{ID: id, Address: "10.0.0.1:" + id, Service: "a", Version: version, DataCentre: "dc1", Slots: 6}
 }
 
+func fleetOf(count int) []catalog.Node {
+	var nodes []catalog.Node
+	for i := range count {
+		nodes = append(nodes, catalog.Node{Name: strconv.Itoa(i), DataCentre: "dc" + strconv.Itoa(1+i%3)})
+	}
+	return nodes
+}
+
 func build(b *Builder, now time.Time, change func(in *Input)) *Topology {
-	in := Input{Now: now, Configuration: configuration(), Fleet: 10, Evacuated: map[string]bool{}}
+	in := Input{Now: now, Configuration: configuration(), Nodes: fleetOf(10), Evacuated: map[string]bool{}}
 	change(&in)
 	return b.Build(in)
 }
 
-func ids(targets []*Target) []string {
+func ids(pool Pool) []string {
 	names := []string{}
-	for _, t := range targets {
+	for _, t := range pool.All() {
 		names = append(names, t.ID)
 	}
 	return names
@@ -76,7 +84,7 @@
 		in.Evacuated["dc2"] = true
 	})
 	g.Expect(ids(top.Services["a"].Main)).To(Equal([]string{"4", "5"}))
-	g.Expect(top.Services["a"].Main[0].Connections).To(Equal(26))
+	g.Expect(top.Services["a"].Main.All()[0].Connections).To(Equal(26))
 }
 
 // Guards against a start under an old id keeping what was seen of the earlier one.
@@ -84,11 +92,11 @@
 	g := NewWithT(t)
 	b := NewBuilder("n1", "dc1", nil)
 	entry := target("1", "v1")
-	first := build(b, start, func(in *Input) { in.Targets = []catalog.Target{entry} }).Services["a"].Main[0]
-	again := build(b, start, func(in *Input) { in.Targets = []catalog.Target{entry} }).Services["a"].Main[0]
+	first := build(b, start, func(in *Input) { in.Targets = []catalog.Target{entry} }).Services["a"].Main.All()[0]
+	again := build(b, start, func(in *Input) { in.Targets = []catalog.Target{entry} }).Services["a"].Main.All()[0]
 	g.Expect(again.Observed).To(BeIdenticalTo(first.Observed))
 	entry.Incarnation = 2
-	restarted := build(b, start, func(in *Input) { in.Targets = []catalog.Target{entry} }).Services["a"].Main[0]
+	restarted := build(b, start, func(in *Input) { in.Targets = []catalog.Target{entry} }).Services["a"].Main.All()[0]
 	g.Expect(restarted.Observed).NotTo(BeIdenticalTo(first.Observed))
 }
 
@@ -150,38 +158,53 @@
 	g.Expect(ids(build(b, later, func(in *Input) { in.Targets = both }).Services["a"].Main)).To(Equal([]string{"1", "2"}))
 }
 
-// Guards against nodes that all prefer the same targets, and against a subset that
-// changes wholly when one target goes.
-func TestSubsetsDifferBetweenNodesAndStay(t *testing.T) {
-	g := NewWithT(t)
-	var all []catalog.Target
-	for i := range 160 {
-		all = append(all, target(strconv.Itoa(1000+i), "v1"))
-	}
-	preferred := func(node string, entries []catalog.Target) map[string]bool {
-		chosen := map[string]bool{}
-		for _, known := range build(NewBuilder(node, "dc1", nil), start, func(in *Input) { in.Targets = entries }).Services["a"].Main {
-			if known.Preferred {
-				chosen[known.ID] = true
+// Guards against targets that are in the subsets of no node or of many more than others,
+// and against a subset that changes wholly when one target goes.
+func TestSubsetsCoverAllTargetsAndStay(t *testing.T) {
+	for name, c := range map[string]struct{ nodes, targets int }{
+		"more targets": {107, 160}, "more nodes": {114, 15}, "large": {472, 440}, "few of both": {6, 5}, "one node": {1, 9},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			fleet := fleetOf(c.nodes)
+			var all []catalog.Target
+			for i := range c.targets {
+				entry := target(strconv.Itoa(1000+i), "v1")
+				entry.DataCentre = "dc" + strconv.Itoa(1+i%3)
+				all = append(all, entry)
 			}
-		}
-		return chosen
-	}
-	covered := map[string]int{}
-	for node := range 107 {
-		subset := preferred(strconv.Itoa(node), all)
-		g.Expect(subset).To(HaveLen(subsetSize))
-		for id := range subset {
-			covered[id]++
-		}
-	}
-	g.Expect(covered).To(HaveLen(160))
-	before, after := preferred("7", all), preferred("7", all[1:])
-	kept := 0
-	for id := range before {
-		if after[id] {
-			kept++
-		}
+			subset := func(node catalog.Node, entries []catalog.Target) map[string]bool {
+				chosen := map[string]bool{}
+				top := build(NewBuilder(node.Name, node.DataCentre, nil), start, func(in *Input) { in.Targets, in.Nodes = entries, fleet })
+				for _, known := range top.Services["a"].Main.Subset {
+					g.Expect(chosen[known.ID]).To(BeFalse())
+					chosen[known.ID] = true
+				}
+				return chosen
+			}
+			covered := map[string]int{}
+			total := 0
+			for _, node := range fleet {
+				chosen := subset(node, all)
+				g.Expect(len(chosen)).To(BeNumerically(">=", min(leastSubset, c.targets)))
+				total += len(chosen)
+				for id := range chosen {
+					covered[id]++
+				}
+			}
+			g.Expect(covered).To(HaveLen(c.targets))
+			mean := float64(total) / float64(c.targets)
+			for _, count := range covered {
+				g.Expect(float64(count)).To(BeNumerically("<=", 2*mean+1))
+			}
+			before, after := subset(fleet[0], all), subset(fleet[0], all[1:])
+			lost := 0
+			for id := range before {
+				if !after[id] {
+					lost++
+				}
+			}
+			g.Expect(lost).To(BeNumerically("<=", 1+len(before)/4))
+		})
 	}
-	g.Expect(kept).To(BeNumerically(">=", subsetSize-1))
 }
--- a/pkg/topology/topology.go
+++ b/pkg/topology/topology.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strings"
 
 	"github.com/fireflychute/fireflychute/pkg/catalog"
@@ -31,8 +32,8 @@
 	catalog.Service
 	// Main are the targets of the version in use, Canary those of the version that
 	// is being rolled out.
-	Main   []*Target
-	Canary []*Target
+	Main   Pool
+	Canary Pool
 	// CanaryShare is the part of the requests for Canary; CanaryVersion its name.
 	CanaryShare   float64
 	CanaryVersion string
@@ -61,9 +62,29 @@
 	// Connections is this node's part of the connections that the target accepts.
 	Connections int
 	Observed    *Observed
-	// Preferred targets are asked first; the others only when too few of those can
-	// take a request.
-	Preferred bool
+}
+
+// Pool is the targets of one version of a service, as a node chooses among them.
+type Pool struct {
+	// Subset are the targets that are asked first. The node keeps connections to these,
+	// so it opens few others.
+	Subset []*Target
+	// Local are the targets in the data centre of the node, Remote the others.
+	Local, Remote []*Target
+}
+
+// Len returns the number of targets.
+func (p *Pool) Len() int { return len(p.Local) + len(p.Remote) }
+
+// All returns the targets, the local ones first.
+func (p *Pool) All() []*Target { return slices.Concat(p.Local, p.Remote) }
+
+func (p *Pool) add(target *Target) {
+	if target.Local {
+		p.Local = append(p.Local, target)
+	} else {
+		p.Remote = append(p.Remote, target)
+	}
 }
 
 // Match returns the route of a host and a path: the one with the longest prefix.
@@ -89,11 +110,11 @@
 }
 
 // Draw decides whether a request goes to the version that is being rolled out.
-func (s *Service) Draw(random *rand.Rand) (targets []*Target, canary bool) {
-	if s.CanaryShare > 0 && len(s.Canary) > 0 && random.Float64() < s.CanaryShare {
-		return s.Canary, true
+func (s *Service) Draw(random *rand.Rand) (pool *Pool, canary bool) {
+	if s.CanaryShare > 0 && s.Canary.Len() > 0 && random.Float64() < s.CanaryShare {
+		return &s.Canary, true
 	}
-	return s.Main, false
+	return &s.Main, false
 }
 
 // Allows tells whether the route may use a target's region.
--- a/testbed/edge/forward_test.go
+++ b/testbed/edge/forward_test.go
@@ -97,7 +97,7 @@
 }
 
 func (b *bench) publish() {
-	b.published.Store(b.builder.Build(topology.Input{Now: time.Now(), Configuration: b.config, Targets: b.targets, Fleet: 1}))
+	b.published.Store(b.builder.Build(topology.Input{Now: time.Now(), Configuration: b.config, Targets: b.targets, Nodes: []catalog.Node{{Name: "n1", DataCentre: "dc1"}}}))
 }
 
 // fault gives all instances the same faults.
