Probe the store from watchers, start from seeds, look for a lost store in turn

Change: watchers peek at the configuration every 0.25 s (a tenth of a call's price) and tell their followers when that is not answered; seeds alone watch while a system forms; starts wait 200 ms for seeds and repeat fetches after 40 ms; nodes that hear others look for a lost store 0.25 s apart. Only requests whose targets are full wait. The stand-in counts stale reads apart and stays silent on waiting watches, too; the test of two watchers keeps its bound and has one for the probes.

--- a/pkg/edge/controller.go
+++ b/pkg/edge/controller.go
@@ -29,7 +29,7 @@
 	// store by itself: seeds that are up answer within it. Without it each start costs
 	// a read of every kind. firstSeedTime is the same when the whole fleet starts for
 	// the first time, before there is traffic.
-	seedTime      = 80 * time.Millisecond
+	seedTime      = 200 * time.Millisecond
 	firstSeedTime = 600 * time.Millisecond
 	// patienceTime is how long a starting node waits for recent data before it serves
 	// with what its peers have.
@@ -65,6 +65,8 @@
 	started time.Time
 	// heard is when the store was last reached, by this node or by one that it follows.
 	heard time.Time
+	// answered is when a followed node last answered, whatever it knew.
+	answered time.Time
 
 	watch    watchState
 	register writeState
--- a/pkg/edge/pack.go
+++ b/pkg/edge/pack.go
@@ -47,7 +47,7 @@
 		}
 		p.keep(key, packed)
 	}
-	return &message.ReplicaAnswer{StaleMs: answer.StaleMs, Packed: packed}, nil
+	return &message.ReplicaAnswer{StaleMs: answer.StaleMs, Silent: answer.Silent, Packed: packed}, nil
 }
 
 func (p *packer) keep(key, packed string) {
--- a/pkg/edge/sync.go
+++ b/pkg/edge/sync.go
@@ -18,16 +18,27 @@
 	fetchWait = 400 * time.Millisecond
 	// fetchTimeout is when a followed node counts as lost.
 	fetchTimeout = 1200 * time.Millisecond
+	// startPause is the pause after a fetch that failed while the node knows nothing yet:
+	// the followed node may be starting, too.
+	startPause = 40 * time.Millisecond
+	// formingTime is how long the nodes of a system that starts for the first time take
+	// to make themselves known. Its seeds watch meanwhile.
+	formingTime = 2 * time.Second
+	// turnTime is the time between two nodes that begin to look for a store that is away.
+	turnTime = 250 * time.Millisecond
 )
 
 // plan starts and stops watches and follows as the fleet requires.
 func (c *controller) plan(ctx context.Context, now time.Time) {
 	unserved := now.Sub(c.heard) > staleTime || !c.isComplete()
-	alone := unserved && !c.awaitsSeeds(now)
-	plan := follow.Decide(now, c.self.Name, c.view.ranked, c.sources, c.watch.failing, alone)
+	alone := unserved && !c.awaitsSeeds(now) && !c.awaitsTurn(now)
+	plan := follow.Decide(now, c.self.Name, c.view.ranked, c.sources, c.watch.failing || c.watch.silent, alone)
 	if unserved || len(plan.Upstreams) == 0 {
 		plan.Upstreams = append(plan.Upstreams, c.seedNodes()...)
 	}
+	if c.isForming(now) {
+		plan.Watch = alone || c.isSeed()
+	}
 	if plan.Lead && !c.rollouts.leading {
 		c.rollouts.leadSince = now
 	}
@@ -59,6 +70,14 @@
 	}
 }
 
+// isForming tells whether the whole system has just started for the first time. The list
+// of nodes is still short then, and each node would find itself among the first.
+func (c *controller) isForming(now time.Time) bool {
+	return c.options.Settings.FirstStart && now.Sub(c.started) < formingTime
+}
+
+func (c *controller) isSeed() bool { return slices.Contains(c.seeds, c.self.Address) }
+
 // awaitsSeeds tells whether the node has just started and may get all it needs from
 // another node. Seeds themselves read the store at once.
 func (c *controller) awaitsSeeds(now time.Time) bool {
@@ -66,7 +85,22 @@
 	if c.options.Settings.FirstStart {
 		wait = firstSeedTime
 	}
-	return now.Sub(c.started) < wait && len(c.seeds) > 0 && !slices.Contains(c.seeds, c.self.Address)
+	return now.Sub(c.started) < wait && len(c.seeds) > 0 && !c.isSeed()
+}
+
+// awaitsTurn tells whether the node leaves it to others to look for the store. While the
+// store is away for all, nodes that hear each other begin to look for it one by one.
+func (c *controller) awaitsTurn(now time.Time) bool {
+	if !c.isComplete() || !c.hearsOthers(now) {
+		return false
+	}
+	at := slices.IndexFunc(c.view.ranked, func(node catalog.Node) bool { return node.Name == c.self.Name })
+	return now.Sub(c.heard)-staleTime < time.Duration(at)*turnTime
+}
+
+// hearsOthers tells whether a followed node has answered lately.
+func (c *controller) hearsOthers(now time.Time) bool {
+	return now.Sub(c.answered) < fetchTimeout
 }
 
 // seedNodes are the nodes from the settings, which are followed until others are known.
@@ -95,9 +129,16 @@
 		if err == nil {
 			deltas, err = unpack(answer)
 		}
-		c.do(ctx, func() { c.take(time.Now(), node, answer, deltas, err) })
-		if err != nil {
+		complete := true
+		c.do(ctx, func() {
+			c.take(time.Now(), node, answer, deltas, err)
+			complete = c.isComplete()
+		})
+		switch {
+		case err != nil && complete:
 			wait.For(ctx, minBackoff)
+		case err != nil:
+			wait.For(ctx, startPause)
 		}
 	}
 }
@@ -136,6 +177,7 @@
 		c.sources[node.Name] = state.Lost(now)
 		return
 	}
+	c.answered = now
 	age := time.Duration(answer.StaleMs) * time.Millisecond
 	switch {
 	case age > staleTime:
@@ -143,6 +185,8 @@
 		if !c.reachesStore() {
 			c.watch.troubleAt = now
 		}
+	case answer.Silent:
+		c.sources[node.Name] = state.Stale(now)
 	case state.IsLost():
 		c.log.Info().Str("peer", node.Name).Dur("age", age).Msg("followed node regained")
 		c.sources[node.Name] = follow.State{}
@@ -221,7 +265,7 @@
 }
 
 func (c *controller) answerTo(now time.Time, fetch *message.ReplicaFetch) *message.ReplicaAnswer {
-	answer := &message.ReplicaAnswer{StaleMs: int(c.staleness(now).Milliseconds())}
+	answer := &message.ReplicaAnswer{StaleMs: int(c.staleness(now).Milliseconds()), Silent: c.watch.silent}
 	for i, have := range fetch.Have {
 		delta, ok := c.replica.Since(replica.Kind(i), have.AsOf, have.Known)
 		if ok {
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -40,6 +40,8 @@
 	// failed last, of this node or, while this one does not reach the store, of one that it
 	// follows.
 	failing bool
+	// silent tells that the last probe of the store was not answered.
+	silent bool
 	// ranked tells that the node is one of the watchers.
 	ranked    bool
 	troubleAt time.Time
@@ -54,11 +56,13 @@
 	for _, kind := range replica.Kinds() {
 		go c.watchKind(ctx, kind)
 	}
+	go c.probeStore(ctx)
 }
 
 func (c *controller) stopWatching() {
 	c.watch.cancel()
 	c.watch.cancel = nil
+	c.watch.silent = false
 }
 
 // watchKind keeps one kind up to date until the context ends.
--- a/pkg/forward/wait.go
+++ b/pkg/forward/wait.go
@@ -11,8 +11,9 @@
 // requests left.
 const lookTime = 40 * time.Millisecond
 
-// placeOrWait chooses a target. Where none has room it waits as long as the answer can
-// still be in time; a request that will be late or can't be served is given up at once.
+// placeOrWait chooses a target. Where all that answer are full it waits as long as the
+// answer can still be in time. A request that will be late, or for which no target is
+// there, is given up at once.
 func (c *call) placeOrWait() (*choice, string) {
 	list := &c.state.waiting
 	var waiter *placement.Waiter
@@ -20,7 +21,7 @@
 	for {
 		chosen, reason := c.place(from)
 		patience := c.learned.model.Patience(c.need(time.Now()))
-		if chosen != nil || reason == ReasonTimeout || patience <= 0 {
+		if chosen != nil || reason != ReasonNoRoom || patience <= 0 {
 			if waiter != nil {
 				list.Leave(waiter)
 			}
--- a/pkg/message/codec_gen.go
+++ b/pkg/message/codec_gen.go
@@ -2351,9 +2351,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ReplicaAnswer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "deltas"
-	o = append(o, 0x83, 0xa6, 0x64, 0x65, 0x6c, 0x74, 0x61, 0x73)
+	o = append(o, 0x84, 0xa6, 0x64, 0x65, 0x6c, 0x74, 0x61, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Deltas)))
 	for za0001 := range z.Deltas {
 		o, err = z.Deltas[za0001].MarshalMsg(o)
@@ -2365,6 +2365,9 @@
 	// string "packed"
 	o = append(o, 0xa6, 0x70, 0x61, 0x63, 0x6b, 0x65, 0x64)
 	o = msgp.AppendString(o, z.Packed)
+	// string "silent"
+	o = append(o, 0xa6, 0x73, 0x69, 0x6c, 0x65, 0x6e, 0x74)
+	o = msgp.AppendBool(o, z.Silent)
 	// string "staleMs"
 	o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x6c, 0x65, 0x4d, 0x73)
 	o = msgp.AppendInt(o, z.StaleMs)
@@ -2422,6 +2425,12 @@
 				err = msgp.WrapError(err, "Packed")
 				return
 			}
+		case "silent":
+			z.Silent, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Silent")
+				return
+			}
 		case "staleMs":
 			z.StaleMs, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -2446,7 +2455,7 @@
 	for za0001 := range z.Deltas {
 		s += z.Deltas[za0001].Msgsize()
 	}
-	s += 7 + msgp.StringPrefixSize + len(z.Packed) + 8 + msgp.IntSize
+	s += 7 + msgp.StringPrefixSize + len(z.Packed) + 7 + msgp.BoolSize + 8 + msgp.IntSize
 	return
 }
 
--- a/pkg/message/types_gen.go
+++ b/pkg/message/types_gen.go
@@ -276,6 +276,10 @@
 	// A compressed answer with the changes, in place of the changes themselves.
 	Packed string `msg:"packed"`
 
+	// Tells that the store does not answer the answering node at present, whatever
+	// the age of its last contact.
+	Silent bool `msg:"silent"`
+
 	// Age of the answering node's last contact with the store, in milliseconds.
 	StaleMs int `msg:"staleMs"`
 }
--- a/testbed/edge/edge_test.go
+++ b/testbed/edge/edge_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"math"
 	"net/http"
+	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -13,6 +15,8 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/fireflychute/fireflychute/pkg/catalog"
+	"github.com/fireflychute/fireflychute/pkg/follow"
 	"github.com/fireflychute/fireflychute/pkg/telemetry"
 	"github.com/fireflychute/fireflychute/testbed/instance"
 	"github.com/fireflychute/fireflychute/testbed/metastore"
@@ -29,9 +33,41 @@
 	w.g.Expect(w.callAll()).To(Equal(w.each(http.StatusOK)))
 	w.g.Eventually(func() int { objects, _ := w.store.List("fireflychute-nodes"); return len(objects) }, applied).Should(Equal(6))
 	time.Sleep(time.Second) // the plans of all nodes settle
-	before := w.server.Counts().Reads
+	before := w.server.Counts()
 	time.Sleep(2 * time.Second)
-	w.g.Expect(w.server.Counts().Reads-before).To(BeNumerically("<=", 2*6*2), "two nodes watch six kinds, each answer takes 2 s or more")
+	after := w.server.Counts()
+	w.g.Expect(after.Reads-before.Reads).To(BeNumerically("<=", 2*6*2), "two nodes watch six kinds, each answer takes 2 s or more")
+	w.g.Expect(after.Stale-before.Stale).To(And(BeNumerically(">", 0), BeNumerically("<=", 2*2*8)), "two nodes look at the store at most each 125 ms")
+}
+
+// Guards against a change that comes into force late because the store is silent towards
+// both watchers and the node that takes their place, while it serves the others.
+func TestSilentStoreOfWatchersDelaysNoChange(t *testing.T) {
+	w := newWorld(t, 6, 2)
+	silenced := metastore.NewServer(w.store)
+	front := httptest.NewServer(silenced)
+	t.Cleanup(front.Close)
+	t.Cleanup(front.CloseClientConnections)
+	var all []catalog.Node
+	for _, n := range w.nodes {
+		all = append(all, catalog.Node{Name: n.name, DataCentre: "dc1"})
+	}
+	first := map[string]bool{}
+	for _, node := range follow.Rank(all)[:3] {
+		first[node.Name] = true
+	}
+	for _, n := range w.nodes {
+		if first[n.name] {
+			n.storeAddress = strings.TrimPrefix(front.URL, "http://")
+		}
+	}
+	w.start()
+	w.g.Eventually(func() int { objects, _ := w.store.List("fireflychute-nodes"); return len(objects) }, applied).Should(Equal(6))
+	time.Sleep(time.Second) // the plans of all nodes settle
+	silenced.SetFaults(metastore.Faults{Silent: true})
+	time.Sleep(100 * time.Millisecond)
+	w.configure("0000000c", "other", 10)
+	w.g.Eventually(w.callAll, "2s", "20ms").Should(Equal(w.each(http.StatusServiceUnavailable)))
 }
 
 // Guards (P10) against a configuration that does not come into force on all nodes, or
--- a/testbed/metastore/faults.go
+++ b/testbed/metastore/faults.go
@@ -9,7 +9,7 @@
 type Faults struct {
 	// Down refuses every call with 503.
 	Down bool `json:"down"`
-	// Silent calls get no answer until the caller leaves.
+	// Silent calls, watches that are waiting included, get no answer until the caller leaves.
 	Silent bool `json:"silent"`
 	// RefuseByRate refuses every call with 429.
 	RefuseByRate bool `json:"refuseByRate"`
@@ -27,8 +27,10 @@
 
 // Counts is how often the platform was called. A watch counts as a read too.
 type Counts struct {
-	Reads       uint64 `json:"reads"`
-	Writes      uint64 `json:"writes"`
+	Reads  uint64 `json:"reads"`
+	Writes uint64 `json:"writes"`
+	// Stale counts reads that may be answered with older data. They are not in Reads.
+	Stale       uint64 `json:"stale"`
 	Watches     uint64 `json:"watches"`
 	RateLimited uint64 `json:"rateLimited"`
 }
@@ -69,21 +71,34 @@
 	loseAnswer bool
 }
 
-func (g *gate) admit(write bool, now time.Time) verdict {
+// callKind is a kind of call as the rates and counts tell them apart.
+type callKind int
+
+const (
+	callRead callKind = iota
+	callStaleRead
+	callWrite
+)
+
+func (g *gate) admit(kind callKind, now time.Time) verdict {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	write := kind == callWrite
 	bucket := &g.reads
-	if write {
+	switch kind {
+	case callWrite:
 		g.counts.Writes++
 		bucket = &g.writes
-	} else {
+	case callStaleRead:
+		g.counts.Stale++
+	default:
 		g.counts.Reads++
 	}
 	v := verdict{delay: time.Duration(g.faults.DelayMs) * time.Millisecond, down: g.faults.Down, silent: g.faults.Silent}
 	if v.down || v.silent {
 		return v
 	}
-	if g.faults.RefuseByRate || !bucket.allow(now) {
+	if g.faults.RefuseByRate || kind != callStaleRead && !bucket.allow(now) {
 		g.counts.RateLimited++
 		v.limited = true
 		return v
@@ -107,3 +122,9 @@
 	defer g.mu.Unlock()
 	return g.faults.Down || g.faults.WatchesBroken, g.faults.Deaf
 }
+
+func (g *gate) isSilent() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.faults.Silent
+}
--- a/testbed/metastore/server.go
+++ b/testbed/metastore/server.go
@@ -99,10 +99,21 @@
 	time.AfterFunc(lag, publish)
 }
 
+func kindOf(r *http.Request) callKind {
+	switch {
+	case r.Method != http.MethodGet:
+		return callWrite
+	case r.URL.Query().Get("allow-stale") == "1":
+		return callStaleRead
+	default:
+		return callRead
+	}
+}
+
 // gated applies the faults and rates to a call.
 func (s *Server) gated(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		v := s.gate.admit(r.Method != http.MethodGet, time.Now())
+		v := s.gate.admit(kindOf(r), time.Now())
 		if v.silent {
 			<-r.Context().Done()
 			return
@@ -173,6 +184,10 @@
 		return
 	}
 	events, revision, ok := s.Store.watch(r.Context(), r.PathValue("kind"), from, patience)
+	if s.gate.isSilent() {
+		<-r.Context().Done()
+		return
+	}
 	broken, _ = s.gate.ofWatches()
 	switch {
 	case broken:
--- a/testbed/metastore/server_test.go
+++ b/testbed/metastore/server_test.go
@@ -139,20 +139,21 @@
 	g := NewWithT(t)
 	now := time.Unix(0, 0)
 	gate := gate{reads: limiter{rate: 5, tokens: 5, last: now}, writes: limiter{rate: 2, tokens: 2, last: now}}
-	admitted := func(write bool, at time.Time) int {
+	admitted := func(call callKind, at time.Time) int {
 		count := 0
 		for range 20 {
-			if !gate.admit(write, at).limited {
+			if !gate.admit(call, at).limited {
 				count++
 			}
 		}
 		return count
 	}
-	g.Expect(admitted(true, now)).To(Equal(2))
-	g.Expect(admitted(false, now)).To(Equal(5))
-	g.Expect(admitted(true, now.Add(time.Second))).To(Equal(2))
-	g.Expect(admitted(true, now.Add(1500*time.Millisecond))).To(Equal(1))
-	g.Expect(admitted(true, now.Add(time.Hour))).To(Equal(2), "unused calls do not add up beyond one second")
+	g.Expect(admitted(callWrite, now)).To(Equal(2))
+	g.Expect(admitted(callRead, now)).To(Equal(5))
+	g.Expect(admitted(callStaleRead, now)).To(Equal(20), "reads that may be older do not count")
+	g.Expect(admitted(callWrite, now.Add(time.Second))).To(Equal(2))
+	g.Expect(admitted(callWrite, now.Add(1500*time.Millisecond))).To(Equal(1))
+	g.Expect(admitted(callWrite, now.Add(time.Hour))).To(Equal(2), "unused calls do not add up beyond one second")
 
 	_, c := start(t, 1, 1000)
 	_, _, err := c.List(t.Context(), kind)
