Decode only the kinds that changed, build topologies with less work

Cause: with 472 nodes and 809 targets each change made every node decode all entries of nodes again, sort all names several times and copy all targets into maps; a watcher did the sorting once more for each fetch of each follower. Fetches were also answered at once when only the store's revision had moved, so followers asked about twice as often as they wait.

Change: the replica keeps its objects in order until one changes and counts changes by kind; the view decodes changed kinds only; a fetch returns at once only for a change.

--- a/pkg/edge/controller.go
+++ b/pkg/edge/controller.go
@@ -85,7 +85,7 @@
 		outcomes: canary.NewOutcomes(),
 		inbox:    make(chan func(), 64), drained: make(chan struct{}),
 		replica: replica.New(), builder: topology.NewBuilder(settings.Node, settings.DataCentre, settings.Regions),
-		view:  view{targets: map[string]decodedTarget{}},
+		view:  view{targets: map[string]decodedTarget{}, decoded: map[replica.Kind]uint64{}},
 		peers: peer.NewClient(settings.Node, nil), seeds: settings.Seeds,
 		self: catalog.Node{
 			Name: settings.Node, Address: settings.PeerListen, DataCentre: settings.DataCentre,
--- a/pkg/edge/probe_test.go
+++ b/pkg/edge/probe_test.go
@@ -17,6 +17,8 @@
 	return newController(Options{Settings: Settings{Node: name}, Log: zerolog.Nop()}, nil, nil)
 }
 
+func silent(answer *message.ReplicaAnswer, _ bool) bool { return answer.Silent }
+
 // Guards against a node that goes on as a source of others while the store does not
 // answer it, and against removed entries that are kept since the store was slow.
 func TestSilentStoreIsToldButRemovesEntries(t *testing.T) {
@@ -26,10 +28,10 @@
 	c.heard = now
 	fetch := &message.ReplicaFetch{Have: make([]message.ReplicaRevision, len(replica.Kinds()))}
 	c.noteProbe(now, nil, errors.New("no answer"))
-	g.Expect(c.answerTo(now, fetch).Silent).To(BeTrue())
+	g.Expect(silent(c.answerTo(now, fetch))).To(BeTrue())
 	g.Expect(c.mayLapse(now, now)).To(BeFalse())
 	c.noteProbe(now, []replica.Object{{Name: "main", Revision: 7}}, nil)
-	g.Expect(c.answerTo(now, fetch).Silent).To(BeFalse())
+	g.Expect(silent(c.answerTo(now, fetch))).To(BeFalse())
 	object, known := c.replica.Object(replica.Configurations, "main")
 	g.Expect(known).To(BeTrue())
 	g.Expect(object.Revision).To(BeEquivalentTo(7))
--- a/pkg/edge/sync.go
+++ b/pkg/edge/sync.go
@@ -240,13 +240,17 @@
 	defer wait.Stop()
 	c.do(ctx, func() { c.noteReport(from, fetch) })
 	for {
-		changed := c.waitChannel()
+		next := c.waitChannel()
 		var answer *message.ReplicaAnswer
+		var changed bool
 		var key string
-		if !c.do(ctx, func() { answer, key = c.answerTo(time.Now(), fetch), c.positionKey(fetch) }) {
+		if !c.do(ctx, func() {
+			answer, changed = c.answerTo(time.Now(), fetch)
+			key = c.positionKey(fetch)
+		}) {
 			return nil
 		}
-		if len(answer.Deltas) > 0 {
+		if changed {
 			packed, err := c.packer.pack(key, answer)
 			if err != nil {
 				c.log.Error().Err(err).Str("peer", from).Msg("answer to a fetch cannot be sent")
@@ -255,7 +259,7 @@
 			return &message.Message{ReplicaAnswer: packed}
 		}
 		select {
-		case <-changed:
+		case <-next:
 		case <-wait.C:
 			return &message.Message{ReplicaAnswer: answer}
 		case <-ctx.Done():
@@ -264,15 +268,18 @@
 	}
 }
 
-func (c *controller) answerTo(now time.Time, fetch *message.ReplicaFetch) *message.ReplicaAnswer {
-	answer := &message.ReplicaAnswer{StaleMs: int(c.staleness(now).Milliseconds()), Silent: c.watch.silent}
+// answerTo returns what the other node lacks. changed is false when that is only the
+// revisions up to which kinds are known, which need not be told at once.
+func (c *controller) answerTo(now time.Time, fetch *message.ReplicaFetch) (answer *message.ReplicaAnswer, changed bool) {
+	answer = &message.ReplicaAnswer{StaleMs: int(c.staleness(now).Milliseconds()), Silent: c.watch.silent}
 	for i, have := range fetch.Have {
 		delta, ok := c.replica.Since(replica.Kind(i), have.AsOf, have.Known)
 		if ok {
 			answer.Deltas = append(answer.Deltas, messageOf(delta))
+			changed = changed || !delta.IsEmpty()
 		}
 	}
-	return answer
+	return answer, changed
 }
 
 // positionKey identifies what an answer to a fetch holds: what the other node knows
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -23,6 +23,8 @@
 	orders        map[string]topology.Order
 	steps         map[string]catalog.Step
 	evacuated     map[string]bool
+	// decoded is the state of each kind that was decoded, as Replica.Changes counts it.
+	decoded map[replica.Kind]uint64
 }
 
 // decodedTarget is a target with the revision of the object it was decoded from.
@@ -32,12 +34,20 @@
 	err      error
 }
 
-// decode brings the view up to the replica.
+// decode brings the view up to the replica. Kinds that have not changed are left: a large
+// fleet changes all the time, each time in one kind.
 func (c *controller) decode() {
-	c.decodeConfiguration()
-	c.decodeTargets()
-	c.decodeNodes()
-	c.decodeMoves()
+	decoders := map[replica.Kind]func(){
+		replica.Configurations: c.decodeConfiguration, replica.Targets: c.decodeTargets, replica.Nodes: c.decodeNodes,
+		replica.Rollouts: c.decodeOrders, replica.Steps: c.decodeSteps, replica.Evacuations: c.decodeEvacuations,
+	}
+	for kind, decode := range decoders {
+		changes := c.replica.Changes(kind)
+		if known, ok := c.view.decoded[kind]; !ok || known != changes {
+			c.view.decoded[kind] = changes
+			decode()
+		}
+	}
 }
 
 // decodeConfiguration takes over the configuration. One that cannot be carried out
@@ -60,8 +70,9 @@
 }
 
 func (c *controller) decodeTargets() {
-	decoded := map[string]decodedTarget{}
-	for _, object := range c.replica.Objects(replica.Targets) {
+	objects := c.replica.Objects(replica.Targets)
+	decoded := make(map[string]decodedTarget, len(objects))
+	for _, object := range objects {
 		known, ok := c.view.targets[object.Name]
 		if ok && known.revision == object.Revision {
 			decoded[object.Name] = known
@@ -92,7 +103,7 @@
 }
 
 func (c *controller) decodeNodes() {
-	c.view.nodes = c.view.nodes[:0]
+	c.view.nodes = nil // topologies keep the earlier list
 	for _, object := range c.replica.Objects(replica.Nodes) {
 		node, err := c.options.Codec.Node(object)
 		if err != nil {
@@ -104,8 +115,8 @@
 	c.view.ranked = follow.Rank(c.view.nodes)
 }
 
-func (c *controller) decodeMoves() {
-	c.view.orders, c.view.steps, c.view.evacuated = map[string]topology.Order{}, map[string]catalog.Step{}, map[string]bool{}
+func (c *controller) decodeOrders() {
+	c.view.orders = map[string]topology.Order{}
 	for _, object := range c.replica.Objects(replica.Rollouts) {
 		rollout, err := c.options.Codec.Rollout(object)
 		if err != nil {
@@ -114,6 +125,10 @@
 		}
 		c.view.orders[rollout.Service] = topology.Order{Rollout: rollout, Name: object.Name, ID: orderID(object, rollout.Version)}
 	}
+}
+
+func (c *controller) decodeSteps() {
+	c.view.steps = map[string]catalog.Step{}
 	for _, object := range c.replica.Objects(replica.Steps) {
 		step, err := c.options.Codec.Step(object)
 		if err != nil {
@@ -122,6 +137,10 @@
 		}
 		c.view.steps[step.Service] = step
 	}
+}
+
+func (c *controller) decodeEvacuations() {
+	c.view.evacuated = map[string]bool{}
 	for _, object := range c.replica.Objects(replica.Evacuations) {
 		c.view.evacuated[object.Name] = true
 	}
@@ -156,13 +175,9 @@
 		Now: now, Configuration: c.view.configuration, Orders: c.view.orders, Evacuated: c.view.evacuated,
 		Steps: c.effectiveSteps(), Nodes: c.view.nodes,
 	}
-	names := make([]string, 0, len(c.view.targets))
-	for name := range c.view.targets {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
-		if known := c.view.targets[name]; known.err == nil {
+	input.Targets = make([]catalog.Target, 0, len(c.view.targets))
+	for _, object := range c.replica.Objects(replica.Targets) { // in the order of their names
+		if known, ok := c.view.targets[object.Name]; ok && known.err == nil {
 			input.Targets = append(input.Targets, known.target)
 		}
 	}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -64,6 +64,9 @@
 	Removed []string
 }
 
+// IsEmpty tells whether a delta only moves the revision up to which the kind is known.
+func (d *Delta) IsEmpty() bool { return !d.Full && len(d.Objects) == 0 && len(d.Removed) == 0 }
+
 // removal is a removed object. Peers that know the kind up to a lower revision
 // than asOf have to be told; created is when the removed object had been created.
 type removal struct {
@@ -81,6 +84,28 @@
 	floor uint64
 	// expiry is when lapsed objects are removed.
 	expiry map[string]time.Time
+	// changes counts the changes of objects; ordered are the objects by name, nil after a
+	// change.
+	changes uint64
+	ordered []Object
+}
+
+// set stores an object.
+func (t *table) set(object Object) {
+	t.objects[object.Name] = object
+	t.changes++
+	t.ordered = nil
+}
+
+// sorted returns the objects by name.
+func (t *table) sorted() []Object {
+	if t.ordered == nil {
+		t.ordered = make([]Object, 0, len(t.objects))
+		for _, name := range slices.Sorted(maps.Keys(t.objects)) {
+			t.ordered = append(t.ordered, t.objects[name])
+		}
+	}
+	return t.ordered
 }
 
 // Replica is the copy. The zero value is not usable; use New.
@@ -110,15 +135,11 @@
 	return object, ok
 }
 
-// Objects returns the objects of a kind, ordered by name.
-func (r *Replica) Objects(kind Kind) []Object {
-	names := slices.Sorted(maps.Keys(r.tables[kind].objects))
-	objects := make([]Object, 0, len(names))
-	for _, name := range names {
-		objects = append(objects, r.tables[kind].objects[name])
-	}
-	return objects
-}
+// Objects returns the objects of a kind, ordered by name. The caller must not change them.
+func (r *Replica) Objects(kind Kind) []Object { return r.tables[kind].sorted() }
+
+// Changes counts the changes of a kind, so that what was derived from it can be kept.
+func (r *Replica) Changes(kind Kind) uint64 { return r.tables[kind].changes }
 
 // Replace takes in a list of a whole kind, as of a revision. With lapse, objects
 // that are missing lapse instead of being removed at once. It returns whether
@@ -236,7 +257,7 @@
 	if !exists && t.wasRemoved(object) {
 		return false
 	}
-	t.objects[object.Name] = object
+	t.set(object)
 	delete(t.expiry, object.Name)
 	if object.Lapsed {
 		t.expiry[object.Name] = now.Add(lapseTime)
@@ -275,7 +296,7 @@
 		return false
 	}
 	object.Lapsed, object.Revision = true, max(revision, object.Revision)
-	t.objects[name] = object
+	t.set(object)
 	t.expiry[name] = now.Add(lapseTime)
 	return true
 }
@@ -286,6 +307,8 @@
 		return false
 	}
 	delete(t.objects, name)
+	t.changes++
+	t.ordered = nil
 	delete(t.expiry, name)
 	t.noteRemoval(removal{name, asOf, current.Created})
 	return true
--- a/pkg/topology/build.go
+++ b/pkg/topology/build.go
@@ -108,10 +108,11 @@
 func (b *Builder) addTargets(t *Topology, in Input) {
 	b.noteVersions(in)
 	addresses := newest(in.Targets)
-	kept := map[targetKey]*Observed{}
-	for _, entry := range in.Targets {
+	kept := make(map[targetKey]*Observed, len(in.Targets))
+	for i := range in.Targets {
+		entry := &in.Targets[i]
 		service := t.Services[entry.Service]
-		if service == nil || addresses[entry.Address] != entry.ID {
+		if service == nil || addresses[entry.Address] != i {
 			continue
 		}
 		key := targetKey{entry.ID, entry.Address, entry.Incarnation}
@@ -127,7 +128,7 @@
 			continue
 		}
 		b.place(t, service, in, &Target{
-			Target: entry, Local: entry.DataCentre == b.dataCentre, Region: b.regions[entry.DataCentre],
+			Target: *entry, Local: entry.DataCentre == b.dataCentre, Region: b.regions[entry.DataCentre],
 			Connections: max(minConnections, service.MaxConnections/t.Fleet), Observed: observed,
 		})
 	}
@@ -154,21 +155,17 @@
 // question and a request at the same time.
 const minConnections = 2
 
-// newest returns the target that owns each address: addresses of targets that are
-// gone are used again.
-func newest(targets []catalog.Target) map[string]string {
-	owners := map[string]catalog.Target{}
-	for _, entry := range targets {
-		owner, taken := owners[entry.Address]
-		if !taken || entry.Incarnation > owner.Incarnation {
-			owners[entry.Address] = entry
+// newest returns the position of the newest entry of each address. An address is used again
+// soon after its owner has gone, and the former entry may still be there.
+func newest(targets []catalog.Target) map[string]int {
+	owners := make(map[string]int, len(targets))
+	for i := range targets {
+		owner, taken := owners[targets[i].Address]
+		if !taken || targets[i].Incarnation > targets[owner].Incarnation {
+			owners[targets[i].Address] = i
 		}
 	}
-	ids := map[string]string{}
-	for address, owner := range owners {
-		ids[address] = owner.ID
-	}
-	return ids
+	return owners
 }
 
 // place puts a target into the version in use or the one that is rolled out.
