--- a/pkg/forward/question.go
+++ b/pkg/forward/question.go
@@ -22,6 +22,9 @@
 	maxHealthBytes = 64 << 10
 )
 
+// errLongHealth is the failure of a load question whose answer does not end within bounds.
+var errLongHealth = errors.New("answer to a load question is too long")
+
 // heard is a target's answer to a load question.
 type heard struct {
 	target    *topology.Target
@@ -116,9 +119,12 @@
 		return Health{}, err
 	}
 	defer answer.Body.Close()
-	_, err = io.Copy(io.Discard, io.LimitReader(answer.Body, maxHealthBytes))
+	read, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxHealthBytes+1))
 	if err != nil {
 		return Health{}, err
 	}
+	if read > maxHealthBytes {
+		return Health{}, errLongHealth
+	}
 	return h.options.Protocol.ReadHealth(answer.StatusCode, answer.Header), nil
 }
