--- a/pkg/edge/controller.go
+++ b/pkg/edge/controller.go
@@ -166,11 +166,13 @@
 }
 
 func (c *controller) tick(ctx context.Context, now time.Time) {
-	c.dirty = c.replica.Expire(now) || c.dirty || c.published.Load() == nil
-	if c.dirty {
-		c.dirty = false
+	changed := c.replica.Expire(now) || c.dirty
+	c.dirty = false
+	if changed || c.published.Load() == nil {
 		c.decode()
 		c.publish(now)
+	}
+	if changed {
 		c.notify()
 	}
 	c.plan(ctx, now)
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -25,6 +25,8 @@
 	// Bounds of the pause after a failed call.
 	minBackoff = 300 * time.Millisecond
 	maxBackoff = 1500 * time.Millisecond
+	// callPause is the pause of a watch that may not call the store at present.
+	callPause = 200 * time.Millisecond
 	// fleetBackoff is the pause per node of the fleet that a node takes which is not
 	// among the watchers: an outage of the store must not make all nodes ask all the time.
 	fleetBackoff = 40 * time.Millisecond
@@ -70,7 +72,7 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		if !c.mayCall(ctx, kind) {
-			wait.For(ctx, minBackoff)
+			wait.For(ctx, callPause)
 			continue
 		}
 		changed, err := c.step(ctx, kind)
@@ -87,11 +89,14 @@
 	}
 }
 
-// mayCall tells whether the watch of a kind may call the store. While the store
-// fails, only the watch of one kind goes on asking.
+// mayCall tells whether the watch of a kind may call the store. While the store fails,
+// only the watch of one kind goes on asking. A starting node first reads each kind once:
+// when it knows all, it may follow others in place of watching.
 func (c *controller) mayCall(ctx context.Context, kind replica.Kind) bool {
 	allowed := false
-	c.do(ctx, func() { allowed = !c.watch.failing || kind == replica.Configurations })
+	c.do(ctx, func() {
+		allowed = (!c.watch.failing || kind == replica.Configurations) && (c.isComplete() || !c.replica.Known(kind))
+	})
 	return allowed
 }
 
