--- a/testbed/edge/forward_test.go
+++ b/testbed/edge/forward_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -62,6 +63,12 @@
 	return r.records[len(r.records)-1]
 }
 
+func (r *recorder) all() []forward.Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.records)
+}
+
 func newBench(t *testing.T, count int) *bench {
 	b := &bench{t: t, g: NewWithT(t), builder: topology.NewBuilder("n1", "dc1", nil)}
 	route := func(name string, idempotent bool, timeout time.Duration) catalog.Route {
@@ -367,3 +374,63 @@
 	}
 	b.g.Expect(b.instances[0].Dials() + b.instances[1].Dials()).To(BeNumerically("<=", 6))
 }
+
+// newSlotBench returns a handler in front of one instance with one slot.
+func newSlotBench(t *testing.T, work time.Duration) (*bench, *instance.Instance) {
+	b := newBench(t, 0)
+	started, err := instance.Start(instance.Options{ID: "i-1", Slots: 1, Work: work, Body: answerBody})
+	b.g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(started.Stop)
+	b.targets = []catalog.Target{{ID: "i-1", Address: started.Address(), Service: "s", Version: "v1", DataCentre: "dc1", Slots: 1}}
+	b.publish()
+	return b, started
+}
+
+// Guards against a request that is refused although a slot becomes free in time, and
+// against one that is kept waiting when its answer would be late.
+func TestRequestWaitsForASlotWhileItCanBeInTime(t *testing.T) {
+	const work = 150 * time.Millisecond // a quarter of the objective
+	b, started := newSlotBench(t, work)
+	status, _, _ := b.call(http.MethodPost, "/unsafe/1", "x")
+	b.g.Expect(status).To(Equal(http.StatusOK))
+	statuses := make(chan int, 8)
+	for i := range 8 {
+		time.Sleep(time.Millisecond)
+		go func() {
+			code, _, _ := b.call(http.MethodPost, "/unsafe/"+strconv.Itoa(i), "x")
+			statuses <- code
+		}()
+	}
+	counts := map[int]int{}
+	for range 8 {
+		counts[<-statuses]++
+	}
+	b.g.Expect(counts[http.StatusOK]).To(BeNumerically(">=", 2), "the objective covers the work three times")
+	b.g.Expect(counts[http.StatusServiceUnavailable]).To(Equal(8-counts[http.StatusOK]), "the others are refused")
+	b.g.Expect(started.Runs()).To(HaveLen(1+counts[http.StatusOK]), "what was refused has not run")
+	for _, record := range b.records.all() {
+		if record.Status == http.StatusServiceUnavailable {
+			b.g.Expect(record.Tries).To(BeEmpty())
+		}
+	}
+}
+
+// Guards against a waiting request that outlives its caller and is sent all the same.
+func TestWaitingRequestEndsWithItsCaller(t *testing.T) {
+	const work = 200 * time.Millisecond
+	b, started := newSlotBench(t, work)
+	running := make(chan int, 1)
+	go func() {
+		code, _, _ := b.call(http.MethodPost, "/unsafe/1", "x")
+		running <- code
+	}()
+	b.g.Eventually(func() int { return len(started.Runs()) }, "2s", "1ms").Should(Equal(1))
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := http.DefaultClient.Do(b.request(ctx, http.MethodPost, "/unsafe/2", "x"))
+	b.g.Expect(err).To(HaveOccurred())
+	b.g.Eventually(b.handler.InFlight, "2s", "1ms").Should(BeNumerically("<=", 1))
+	b.g.Expect(<-running).To(Equal(http.StatusOK))
+	time.Sleep(2 * work)
+	b.g.Expect(started.Runs()).To(HaveLen(1))
+}
