--- a/pkg/forward/sample.go
+++ b/pkg/forward/sample.go
@@ -68,7 +68,6 @@
 	call  *call
 	now   time.Time
 	asked []heard
-	drawn []*topology.Target
 }
 
 // draw returns up to count random targets that may be asked, those without a request of
--- a/testbed/edge/endless_test.go
+++ b/testbed/edge/endless_test.go
@@ -38,7 +38,6 @@
 	closed   int
 	streams  int
 	requests int
-	reused   bool
 }
 
 func startEndless(t *testing.T, onHealth bool, start, repeated string) *endless {
