--- a/pkg/placement/model.go
+++ b/pkg/placement/model.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"slices"
 	"sync"
 	"time"
 )
@@ -29,8 +28,7 @@
 	// recent are the latest times at an idle, ordinary target in seconds, work their
 	// median, 0 while unknown. A mean would follow the few requests whose target turned
 	// slow after it had told its load.
-	recent     []float64
-	next       int
+	recent     recent[float64]
 	work       float64
 	busy, cold float64
 	// slowness is what targets tell on average, 0 while unknown.
@@ -39,7 +37,7 @@
 
 // NewModel returns a model that has seen no request.
 func NewModel() *Model {
-	return &Model{busy: firstBusyFactor, cold: firstColdFactor}
+	return &Model{recent: recent[float64]{size: keptWork}, busy: firstBusyFactor, cold: firstColdFactor}
 }
 
 // Learn takes in what a request took at a candidate. A request that had to wait for a
@@ -58,21 +56,11 @@
 	case c.nearlyFull():
 		m.busy = learned(m.busy, plain, m.work)
 	default:
-		m.learnWork(plain)
+		m.recent.add(plain)
+		m.work = m.recent.quantile(0.5)
 	}
 }
 
-func (m *Model) learnWork(seconds float64) {
-	if len(m.recent) < keptWork {
-		m.recent = append(m.recent, seconds)
-	} else {
-		m.recent[m.next] = seconds
-		m.next = (m.next + 1) % keptWork
-	}
-	sorted := slices.Sorted(slices.Values(m.recent))
-	m.work = sorted[(len(sorted)-1)/2]
-}
-
 // learned returns a factor after a request that took seconds where work is usual.
 func learned(factor, seconds, work float64) float64 {
 	if work == 0 {
--- a/pkg/placement/timeouts.go
+++ b/pkg/placement/timeouts.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"slices"
 	"sync"
 	"time"
 )
@@ -20,9 +19,8 @@
 // Timeouts learns how long the callers of a route wait at first. One that comes back
 // after a refusal has less time left, which tells how long ago it asked first.
 type Timeouts struct {
-	mu   sync.Mutex
-	kept []time.Duration
-	next int
+	mu     sync.Mutex
+	recent recent[time.Duration]
 }
 
 // Age takes in a request's timeout and returns the time since the caller's first
@@ -33,14 +31,9 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.kept) < keptTimeouts {
-		t.kept = append(t.kept, timeout)
-	} else {
-		t.kept[t.next] = timeout
-		t.next = (t.next + 1) % keptTimeouts
-	}
-	sorted := slices.Sorted(slices.Values(t.kept))
-	usual := sorted[int(usualRank*float64(len(sorted)-1))]
+	t.recent.size = keptTimeouts
+	t.recent.add(timeout)
+	usual := t.recent.quantile(usualRank)
 	age := usual - timeout
 	if age < time.Duration(minAge*float64(usual)) {
 		return 0
