Decode the kinds in a fixed order, without a table built at each tick

The view built a map of functions in each turn of the control goroutine and went through it in random order, so lines of one change stood in another order in each run.

--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -37,19 +37,32 @@
 // decode brings the view up to the replica. Kinds that have not changed are left: a large
 // fleet changes all the time, each time in one kind.
 func (c *controller) decode() {
-	decoders := map[replica.Kind]func(){
-		replica.Configurations: c.decodeConfiguration, replica.Targets: c.decodeTargets, replica.Nodes: c.decodeNodes,
-		replica.Rollouts: c.decodeOrders, replica.Steps: c.decodeSteps, replica.Evacuations: c.decodeEvacuations,
-	}
-	for kind, decode := range decoders {
+	for _, kind := range replica.Kinds() {
 		changes := c.replica.Changes(kind)
 		if known, ok := c.view.decoded[kind]; !ok || known != changes {
 			c.view.decoded[kind] = changes
-			decode()
+			c.decodeKind(kind)
 		}
 	}
 }
 
+func (c *controller) decodeKind(kind replica.Kind) {
+	switch kind {
+	case replica.Configurations:
+		c.decodeConfiguration()
+	case replica.Targets:
+		c.decodeTargets()
+	case replica.Nodes:
+		c.decodeNodes()
+	case replica.Rollouts:
+		c.decodeOrders()
+	case replica.Steps:
+		c.decodeSteps()
+	case replica.Evacuations:
+		c.decodeEvacuations()
+	}
+}
+
 // decodeConfiguration takes over the configuration. One that cannot be carried out
 // leaves the last good one in force.
 func (c *controller) decodeConfiguration() {
--- a/pkg/topology/subset.go
+++ b/pkg/topology/subset.go
@@ -51,7 +51,6 @@
 	}
 	wanted := max(nodesPerTarget, (usualSubset*s.fleet+p.Len()-1)/p.Len())
 	local := placement.LocalQuestions(wanted)
-	p.Subset = nil
 	for _, target := range p.Local {
 		if s.isPicked(target, func(dataCentre string) bool { return dataCentre == s.dataCentre }, local) {
 			p.Subset = append(p.Subset, target)
