Read the limit that a target names and show it in logs and metrics

The incident's logs and metrics cannot tell whether a node knew of a limit, what it believed when it sent a request, or what load probes added: probes are counted per node. Nodes now read the header, with a decided meaning for each malformed or repeated value, and keep what they heard per incarnation of a target. A limit that changed is one log line; each attempt carries the limit that the node knew; counters tell requests, retries, hedges and probes to limited targets apart.

Nothing is decided by it yet: what is sent, where and when is as before.

--- a/pkg/canary/outcomes.go
+++ b/pkg/canary/outcomes.go
@@ -11,6 +11,7 @@
 
 	"github.com/fireflychute/fireflychute/pkg/forward"
 	"github.com/fireflychute/fireflychute/pkg/outcome"
+	"github.com/fireflychute/fireflychute/pkg/quota"
 )
 
 const (
@@ -52,11 +53,17 @@
 func NewOutcomes() *Outcomes { return &Outcomes{rows: map[Key]*Counts{}} }
 
 // Probed implements forward.Observer. Load probes are not counted.
-func (o *Outcomes) Probed(bool) {}
+func (o *Outcomes) Probed(forward.Probe) {}
 
 // AvailabilityChanged implements forward.Observer. Signals from targets are not counted.
 func (o *Outcomes) AvailabilityChanged(string, forward.Availability) {}
 
+// LimitChanged implements forward.Observer.
+func (o *Outcomes) LimitChanged(quota.Change) {}
+
+// LimitIgnored implements forward.Observer.
+func (o *Outcomes) LimitIgnored(string, quota.Statement) {}
+
 // SlowAttempt implements forward.Observer. It counts an attempt that is still running well past the
 // route's usual latency.
 func (o *Outcomes) SlowAttempt(record *forward.Record, attempt *forward.Attempt) {
--- a/pkg/edge/controller.go
+++ b/pkg/edge/controller.go
@@ -14,6 +14,7 @@
 	"github.com/fireflychute/fireflychute/pkg/catalog"
 	"github.com/fireflychute/fireflychute/pkg/follow"
 	"github.com/fireflychute/fireflychute/pkg/peer"
+	"github.com/fireflychute/fireflychute/pkg/quota"
 	"github.com/fireflychute/fireflychute/pkg/replica"
 	"github.com/fireflychute/fireflychute/pkg/topology"
 	"github.com/fireflychute/fireflychute/pkg/transport"
@@ -47,6 +48,7 @@
 	log       zerolog.Logger
 	published *atomic.Pointer[topology.Topology]
 	client    *transport.Client
+	limits    *quota.Table
 	outcomes  *canary.Outcomes
 	inbox     chan func()
 	// drained is closed when the last request of a stopping node has ended, or when the time
@@ -84,10 +86,10 @@
 	changed chan struct{}
 }
 
-func newController(options Options, published *atomic.Pointer[topology.Topology], client *transport.Client) *controller {
+func newController(options Options, published *atomic.Pointer[topology.Topology], client *transport.Client, limits *quota.Table) *controller {
 	settings := &options.Settings
 	return &controller{
-		options: options, log: options.Log, published: published, client: client,
+		options: options, log: options.Log, published: published, client: client, limits: limits,
 		outcomes: canary.NewOutcomes(),
 		inbox:    make(chan func(), 64), drained: make(chan struct{}),
 		replica: replica.New(), builder: topology.NewBuilder(settings.Node, settings.DataCentre, settings.Regions),
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fireflychute/fireflychute/pkg/forward"
+	"github.com/fireflychute/fireflychute/pkg/quota"
 	"github.com/fireflychute/fireflychute/pkg/retry"
 	"github.com/fireflychute/fireflychute/pkg/telemetry"
 )
@@ -36,22 +37,59 @@
 	telemetry     *telemetry.Telemetry
 	probes        atomic.Int64
 	probeFailures atomic.Int64
+	// limited counts what was sent to targets of which the node knew a limit, by carrier.
+	limited       [carriers]atomic.Int64
+	limitsIgnored atomic.Int64
 }
 
+// carrier is what brings a request to a target.
+type carrier int
+
+const (
+	firstAttempt carrier = iota
+	retriedAttempt
+	hedgedAttempt
+	loadProbe
+	carriers
+)
+
+var carrierLabels = [carriers]string{"request", "retry", "hedge", "probe"}
+
 // SlowAttempt implements forward.Observer.
 func (m *meter) SlowAttempt(*forward.Record, *forward.Attempt) {}
 
 // Probed implements forward.Observer.
-func (m *meter) Probed(failed bool) {
+func (m *meter) Probed(probe forward.Probe) {
 	m.probes.Add(1)
-	if failed {
+	if probe.Failed {
 		m.probeFailures.Add(1)
 	}
+	if probe.Limited {
+		m.limited[loadProbe].Add(1)
+	}
 }
 
 // AvailabilityChanged implements forward.Observer.
 func (m *meter) AvailabilityChanged(string, forward.Availability) {}
 
+// LimitChanged implements forward.Observer.
+func (m *meter) LimitChanged(quota.Change) {}
+
+// LimitIgnored implements forward.Observer.
+func (m *meter) LimitIgnored(string, quota.Statement) { m.limitsIgnored.Add(1) }
+
+// carrierOf returns the carrier of the attempt at an index of a request.
+func carrierOf(attempt *forward.Attempt, index int) carrier {
+	switch {
+	case attempt.Hedge:
+		return hedgedAttempt
+	case index > 0:
+		return retriedAttempt
+	default:
+		return firstAttempt
+	}
+}
+
 // Ended implements forward.Observer.
 func (m *meter) Ended(record *forward.Record) {
 	route := m.telemetry.Route(record.Route)
@@ -61,6 +99,9 @@
 		if i > 0 {
 			route.Count(telemetry.Retries)
 		}
+		if record.Attempts[i].Limited {
+			m.limited[carrierOf(&record.Attempts[i], i)].Add(1)
+		}
 	}
 	if record.Outcome == retry.NotRun {
 		label, ok := rejectionLabels[record.Reason]
@@ -96,6 +137,11 @@
 	record(telemetry.VersionsBlocked, s.blocked.Load())
 	record(telemetry.LoadProbes, p.meter.probes.Load())
 	record(telemetry.LoadProbeFailures, p.meter.probeFailures.Load())
+	for carrier, label := range carrierLabels {
+		record(telemetry.LimitedSends, p.meter.limited[carrier].Load(), "carrier", label)
+	}
+	record(telemetry.LimitsIgnored, p.meter.limitsIgnored.Load())
+	record(telemetry.LimitedTargets, int64(p.limits.LimitedCount()))
 	record(telemetry.PeerDropped, int64(p.control.peers.Dropped()))
 	p.observeTargets(record)
 }
--- a/pkg/edge/process.go
+++ b/pkg/edge/process.go
@@ -21,6 +21,7 @@
 	"github.com/fireflychute/fireflychute/pkg/experiment"
 	"github.com/fireflychute/fireflychute/pkg/forward"
 	"github.com/fireflychute/fireflychute/pkg/liblog"
+	"github.com/fireflychute/fireflychute/pkg/quota"
 	"github.com/fireflychute/fireflychute/pkg/telemetry"
 	"github.com/fireflychute/fireflychute/pkg/topology"
 	"github.com/fireflychute/fireflychute/pkg/transport"
@@ -72,6 +73,7 @@
 	handler   *forward.Handler
 	control   *controller
 	client    *transport.Client
+	limits    *quota.Table
 	draining  atomic.Bool
 	meter     *meter
 }
@@ -102,7 +104,7 @@
 
 // New returns a node that does not serve yet.
 func New(options Options) (*Process, error) {
-	p := &Process{options: options, log: options.Log}
+	p := &Process{options: options, log: options.Log, limits: quota.NewTable()}
 	metrics, err := telemetry.New(context.Background(), telemetry.Options{Node: options.Settings.Node})
 	if err != nil {
 		return nil, errors.Wrap(err, "start telemetry")
@@ -110,9 +112,9 @@
 	p.meter = &meter{telemetry: metrics}
 	settings := &options.Settings
 	p.client = transport.NewClientWith(transport.Options{IdleTimeout: idleConnTimeout, UserTimeout: targetAckTimeout})
-	p.control = newController(options, &p.published, p.client)
+	p.control = newController(options, &p.published, p.client, p.limits)
 	p.handler = forward.NewHandler(forward.Options{
-		Published: &p.published, Client: p.client, Protocol: options.Protocol,
+		Published: &p.published, Client: p.client, Protocol: options.Protocol, Limits: p.limits,
 		Observer:   observers{newRequestLog(options.Log), p.control.outcomes, p.meter},
 		RetryRatio: settings.RetryRatio * retryBudgetShare, RetryExtra: settings.RetryExtra * retryBudgetShare,
 		RetryWindow: settings.RetryWindow, Disabled: options.Disabled,
--- a/pkg/edge/requestlog.go
+++ b/pkg/edge/requestlog.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/fireflychute/fireflychute/pkg/forward"
+	"github.com/fireflychute/fireflychute/pkg/quota"
 	"github.com/fireflychute/fireflychute/pkg/retry"
 )
 
@@ -53,7 +54,7 @@
 }
 
 // Probed implements forward.Observer.
-func (l *requestLog) Probed(bool) {}
+func (l *requestLog) Probed(forward.Probe) {}
 
 // SlowAttempt implements forward.Observer.
 func (l *requestLog) SlowAttempt(*forward.Record, *forward.Attempt) {}
@@ -64,6 +65,24 @@
 		Msg("target is leaving or requested a backoff; sending it no requests until it restarts or retryAfter has passed")
 }
 
+// LimitChanged implements forward.Observer.
+func (l *requestLog) LimitChanged(change quota.Change) {
+	l.log.Info().Str("target", change.Current.Target).Bool("limited", change.Current.Limited).Float64("limit", change.Current.Rate).
+		Float64("previous", change.Previous.Rate).Uint64("version", change.Current.Version).
+		Msg("limit of target changed")
+}
+
+// malformedLimit is the reason under which ignored limits are counted by the rate limit.
+const malformedLimit = "malformed limit"
+
+// LimitIgnored implements forward.Observer.
+func (l *requestLog) LimitIgnored(target string, said quota.Statement) {
+	ok, _ := l.admit(malformedLimit, time.Now())
+	if ok {
+		l.log.Warn().Str("target", target).Str("text", said.Text).Msg("target names a limit that is not a decimal number; keeping what is known")
+	}
+}
+
 // Ended implements forward.Observer.
 func (l *requestLog) Ended(r *forward.Record) {
 	now := time.Now()
@@ -126,6 +145,12 @@
 	if a.Canary {
 		e.Bool("canary", true)
 	}
+	if a.Hedge {
+		e.Bool("hedge", true)
+	}
+	if a.Limited {
+		e.Float64("limit", a.Limit)
+	}
 	if a.Failure != "" {
 		e.Str("failure", a.Failure).Bool("notRun", a.NotRun)
 	}
@@ -149,9 +174,9 @@
 }
 
 // Probed implements forward.Observer.
-func (o observers) Probed(failed bool) {
+func (o observers) Probed(probe forward.Probe) {
 	for _, observer := range o {
-		observer.Probed(failed)
+		observer.Probed(probe)
 	}
 }
 
@@ -161,3 +186,17 @@
 		observer.AvailabilityChanged(target, signal)
 	}
 }
+
+// LimitChanged implements forward.Observer.
+func (o observers) LimitChanged(change quota.Change) {
+	for _, observer := range o {
+		observer.LimitChanged(change)
+	}
+}
+
+// LimitIgnored implements forward.Observer.
+func (o observers) LimitIgnored(target string, said quota.Statement) {
+	for _, observer := range o {
+		observer.LimitIgnored(target, said)
+	}
+}
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -9,6 +9,7 @@
 
 	"github.com/fireflychute/fireflychute/pkg/catalog"
 	"github.com/fireflychute/fireflychute/pkg/follow"
+	"github.com/fireflychute/fireflychute/pkg/quota"
 	"github.com/fireflychute/fireflychute/pkg/replica"
 	"github.com/fireflychute/fireflychute/pkg/topology"
 )
@@ -195,6 +196,7 @@
 			input.Targets = append(input.Targets, cached.target)
 		}
 	}
+	c.sweepLimits(now, input.Targets)
 	if c.published.Load() == nil {
 		c.log.Info().Int("targets", len(input.Targets)).Int("fleet", len(input.Nodes)).Msg("node ready")
 	}
@@ -203,3 +205,15 @@
 	c.stats.revision.Store(int64(c.view.revision))
 	c.stats.fleetSize.Store(int64(len(input.Nodes)))
 }
+
+// sweepLimits drops the limits of targets that are gone.
+func (c *controller) sweepLimits(now time.Time, targets []catalog.Target) {
+	if c.limits.IsEmpty() {
+		return
+	}
+	listed := make(map[quota.Key]bool, len(targets))
+	for i := range targets {
+		listed[quota.Key{Target: targets[i].ID, Incarnation: targets[i].Incarnation}] = true
+	}
+	c.limits.Sweep(listed, now)
+}
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -49,7 +49,7 @@
 }
 
 // launch sends the request to the selected target in the background.
-func (c *call) launch(selected *selectedTarget, results chan<- *result) *attempt {
+func (c *call) launch(selected *selectedTarget, isHedge bool, results chan<- *result) *attempt {
 	target := selected.target
 	c.attempted = append(c.attempted, target)
 	ctx, cancel := context.WithCancel(c.ctx)
@@ -57,8 +57,11 @@
 	a := attempt{target: target, candidate: selected.candidate, cancel: cancel, start: time.Now(), record: Attempt{
 		Target: target.ID, Version: target.Version, Canary: selected.canary, Order: c.service.Order,
 		Load: selected.load(), Probed: selected.probed, Responded: selected.responded, Cost: selected.cost,
-		Age: time.Since(selected.receivedAt),
+		Age: time.Since(selected.receivedAt), Hedge: isHedge,
 	}}
+	if limit, limited := c.handler.options.Limits.Get(keyOf(target)); limited {
+		a.record.Limited, a.record.Limit = true, limit.Rate
+	}
 	r := &result{attempt: a}
 	target.Observed.Begin()
 	go func() {
@@ -80,6 +83,9 @@
 	r.record.Status = response.StatusCode
 	r.info = c.handler.options.Protocol.ReadResponse(response.StatusCode, response.Header)
 	c.handler.applyAvailability(r.target, r.info.Availability)
+	if r.info.RequestID == c.record.ID && !r.info.OtherTarget {
+		c.handler.applyLimit(r.target, r.info.Limit, r.start)
+	}
 	failure := c.checkResponse(r)
 	if failure == "" {
 		r.bufferedBody, err = io.ReadAll(io.LimitReader(response.Body, responseBufferBytes+1))
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -12,6 +12,7 @@
 	"github.com/fireflychute/fireflychute/pkg/callerconn"
 	"github.com/fireflychute/fireflychute/pkg/experiment"
 	"github.com/fireflychute/fireflychute/pkg/placement"
+	"github.com/fireflychute/fireflychute/pkg/quota"
 	"github.com/fireflychute/fireflychute/pkg/retry"
 	"github.com/fireflychute/fireflychute/pkg/topology"
 	"github.com/fireflychute/fireflychute/pkg/transport"
@@ -24,6 +25,8 @@
 	Client    *transport.Client
 	Protocol  Protocol
 	Observer  Observer
+	// Limits holds the limits that targets have named.
+	Limits *quota.Table
 	// RetryRatio, RetryExtra and RetryWindow are the fleet's retry budget per service.
 	RetryRatio  float64
 	RetryExtra  float64
--- a/pkg/forward/hedge.go
+++ b/pkg/forward/hedge.go
@@ -69,7 +69,7 @@
 // nil if all attempts failed.
 func (c *call) attemptHedged(selected *selectedTarget) *result {
 	results := make(chan *result, 2)
-	running := []*attempt{c.launch(selected, results)}
+	running := []*attempt{c.launch(selected, false, results)}
 	latency := &c.routeState.latency
 	var hedgeDue, slowDue <-chan time.Time
 	if c.canHedge() {
@@ -101,7 +101,7 @@
 			hedgeDue = nil
 			hedge := c.selectHedgeTarget()
 			if hedge != nil {
-				running = append(running, c.launch(hedge, results))
+				running = append(running, c.launch(hedge, true, results))
 			}
 		}
 	}
--- a/pkg/forward/probe.go
+++ b/pkg/forward/probe.go
@@ -9,6 +9,7 @@
 
 	"github.com/fireflychute/fireflychute/pkg/experiment"
 	"github.com/fireflychute/fireflychute/pkg/placement"
+	"github.com/fireflychute/fireflychute/pkg/quota"
 	"github.com/fireflychute/fireflychute/pkg/topology"
 	"github.com/fireflychute/fireflychute/pkg/transport"
 	"github.com/fireflychute/fireflychute/pkg/warmup"
@@ -84,10 +85,12 @@
 func (h *Handler) probe(path string, warmupRate float64, fleet int, target *topology.Target) probeResult {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
+	sentAt := time.Now()
+	_, limited := h.options.Limits.Get(keyOf(target))
 	report, err := h.fetchLoadReport(ctx, path, target)
 	now := time.Now()
 	failed := err != nil
-	h.options.Observer.Probed(failed)
+	h.options.Observer.Probed(Probe{Failed: failed, Limited: limited})
 	if failed {
 		if !errors.Is(err, transport.ErrConnectionLimit) {
 			target.Observed.RecordUnreachable(now)
@@ -99,6 +102,7 @@
 		return probeResult{target: target}
 	}
 	h.applyAvailability(target, report.Availability)
+	h.applyLimit(target, report.Limit, sentAt)
 	interval := warmup.Interval(warmupRate, fleet)
 	target.Observed.SetWarmup(now, report.WarmupLeft, interval, withRandom(h, randomFraction))
 	target.Observed.RecordReachable()
@@ -150,3 +154,21 @@
 		}
 	}
 }
+
+// applyLimit records what a response of a target says about its limit. sentAt is when the request
+// or load probe was sent.
+func (h *Handler) applyLimit(target *topology.Target, said quota.Statement, sentAt time.Time) {
+	if said.Kind == quota.Malformed {
+		h.options.Observer.LimitIgnored(target.ID, said)
+		return
+	}
+	change, changed := h.options.Limits.Observe(keyOf(target), said, sentAt, time.Now())
+	if changed {
+		h.options.Observer.LimitChanged(change)
+	}
+}
+
+// keyOf returns the key under which the limit of a target is known.
+func keyOf(target *topology.Target) quota.Key {
+	return quota.Key{Target: target.ID, Incarnation: target.Incarnation}
+}
--- a/pkg/forward/protocol.go
+++ b/pkg/forward/protocol.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/quota"
 )
 
 // Protocol reads and writes the headers of callers and targets.
@@ -49,6 +51,8 @@
 	// RetryAfter is the time for which this node must send nothing to the target, 0 if the
 	// target states none.
 	RetryAfter time.Duration
+	// Limit is what the target says about the rate that it accepts from all nodes together.
+	Limit quota.Statement
 }
 
 // LoadReport is a target's response to a load probe.
--- a/pkg/forward/record.go
+++ b/pkg/forward/record.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/fireflychute/fireflychute/pkg/quota"
 	"github.com/fireflychute/fireflychute/pkg/retry"
 )
 
@@ -82,6 +83,12 @@
 	// Slow is set if the attempt took much longer than usual and was reported to
 	// Observer.SlowAttempt.
 	Slow bool
+	// Hedge is set if the attempt began while another one of the request was running.
+	Hedge bool
+	// Limited is set if the node knew of a limit of the target when it sent the request, and Limit
+	// is that limit in requests per second.
+	Limited bool
+	Limit   float64
 	// Failed is set if the target failed to serve the request.
 	Failed bool
 	// NotRun is set if the request certainly did not run at the target.
@@ -98,7 +105,18 @@
 	// time so far.
 	SlowAttempt(record *Record, attempt *Attempt)
 	// Probed is called for each load probe.
-	Probed(failed bool)
+	Probed(probe Probe)
 	// AvailabilityChanged is called when a target starts to leave or asks this node to back off.
 	AvailabilityChanged(target string, availability Availability)
+	// LimitChanged is called when a response of a target starts, changes or ends its limit.
+	LimitChanged(change quota.Change)
+	// LimitIgnored is called for each response that names something that is not a limit.
+	LimitIgnored(target string, said quota.Statement)
+}
+
+// Probe describes a load probe that has ended.
+type Probe struct {
+	Failed bool
+	// Limited is set if the node knew of a limit of the target when it sent the probe.
+	Limited bool
 }
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -67,6 +67,9 @@
 	PeerDropped       = "fireflychute.peer.dropped"
 	LoadProbes        = "fireflychute.questions"
 	LoadProbeFailures = "fireflychute.questions.failures"
+	LimitedTargets    = "fireflychute.targets.limited"
+	LimitedSends      = "fireflychute.limited.sends"
+	LimitsIgnored     = "fireflychute.limits.ignored"
 	StoreAge          = "fireflychute.store.age"
 	Watching          = "fireflychute.watching"
 )
@@ -108,6 +111,9 @@
 var EdgeMetrics = []Metric{
 	{LoadProbes, ObservedCounter, "{question}", "Load questions asked before sends.", nil},
 	{LoadProbeFailures, ObservedCounter, "{question}", "Load questions without an answer.", nil},
+	{LimitedTargets, Gauge, "{target}", "Targets of which the node knows a limit for all nodes together.", nil},
+	{LimitedSends, ObservedCounter, "{send}", "Requests and load probes sent to targets of which the node knew a limit, by carrier (request, retry, hedge, probe).", []string{"carrier"}},
+	{LimitsIgnored, ObservedCounter, "{response}", "Responses that named something that is not a limit.", nil},
 	{StoreAge, Gauge, "ms", "Time since the node or one that it follows last reached the platform's store.", nil},
 	{Watching, Gauge, "{node}", "1 when the node watches the platform's store.", nil},
 }
--- a/testbed/edge/forward_test.go
+++ b/testbed/edge/forward_test.go
@@ -19,6 +19,7 @@
 	"github.com/fireflychute/fireflychute/pkg/callerconn"
 	"github.com/fireflychute/fireflychute/pkg/catalog"
 	"github.com/fireflychute/fireflychute/pkg/forward"
+	"github.com/fireflychute/fireflychute/pkg/quota"
 	"github.com/fireflychute/fireflychute/pkg/topology"
 	"github.com/fireflychute/fireflychute/pkg/transport"
 	"github.com/fireflychute/fireflychute/platform"
@@ -50,7 +51,11 @@
 	availabilityChanges []forward.Availability
 }
 
-func (r *recorder) Probed(bool) {}
+func (r *recorder) Probed(forward.Probe) {}
+
+func (r *recorder) LimitChanged(quota.Change) {}
+
+func (r *recorder) LimitIgnored(string, quota.Statement) {}
 
 func (r *recorder) AvailabilityChanged(target string, availability forward.Availability) {
 	r.mu.Lock()
@@ -110,6 +115,7 @@
 	}
 	b.handler = forward.NewHandler(forward.Options{
 		Published: &b.published, Client: transport.NewClient(), Protocol: platform.Protocol{}, Observer: &b.records,
+		Limits:     quota.NewTable(),
 		RetryRatio: 0.2, RetryExtra: 64, RetryWindow: 10 * time.Second, Random: rand.NewPCG(1, 2),
 	})
 	b.publish()
