--- a/testbed/instance/instance.go
+++ b/testbed/instance/instance.go
@@ -74,9 +74,12 @@
 	running     int
 	coldUntil   time.Time
 	isLeaving   bool
-	runs        []Run
-	probes      int
-	dials       int
+	// limit is the value of the limit header, empty for none; naming holds its changes.
+	limit  string
+	naming []Naming
+	runs   []Run
+	probes int
+	dials  int
 	// arrivals holds the arrival times of requests and load probes.
 	arrivals []time.Time
 }
@@ -133,6 +136,28 @@
 	i.isLeaving = true
 }
 
+// Naming is a change of the limit that an instance names in its responses.
+type Naming struct {
+	At time.Time
+	// Limit is the value of the header, empty for none.
+	Limit string
+}
+
+// NameLimit makes each further response name a limit for all nodes together; empty ends it.
+func (i *Instance) NameLimit(limit string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.limit = limit
+	i.naming = append(i.naming, Naming{time.Now(), limit})
+}
+
+// Namings returns the changes of the limit that the instance named, in order.
+func (i *Instance) Namings() []Naming {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return append([]Naming{}, i.naming...)
+}
+
 // SetServiceTime replaces the execution time of each request.
 func (i *Instance) SetServiceTime(serviceTime time.Duration) {
 	i.mu.Lock()
@@ -181,6 +206,7 @@
 	i.arrivals = append(i.arrivals, time.Now())
 	leaving := i.isLeaving || i.faults.Leaving
 	i.mu.Unlock()
+	w = &limitWriter{ResponseWriter: w, instance: i}
 	if leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
@@ -207,6 +233,42 @@
 	i.execute(w, r, id, faults)
 }
 
+// limitWriter adds the limit that the instance names at the moment at which it sends the head of a
+// response.
+type limitWriter struct {
+	http.ResponseWriter
+	instance *Instance
+	sent     bool
+}
+
+// Unwrap is used by http.ResponseController.
+func (w *limitWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *limitWriter) WriteHeader(status int) {
+	w.addLimit()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *limitWriter) Write(body []byte) (int, error) {
+	w.addLimit()
+	return w.ResponseWriter.Write(body)
+}
+
+func (w *limitWriter) addLimit() {
+	if w.sent {
+		return
+	}
+	w.sent = true
+	w.instance.mu.Lock()
+	limit := w.instance.limit
+	w.instance.mu.Unlock()
+	if limit != "" {
+		w.Header().Set("Server-Limit", limit)
+	}
+}
+
 func (i *Instance) execute(w http.ResponseWriter, r *http.Request, id string, faults Faults) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -278,10 +340,12 @@
 	if warmupLeft > 0 {
 		w.Header().Set("Fireflychute-Warmup-Ms", strconv.FormatInt(warmupLeft.Milliseconds(), 10))
 	}
+	status := http.StatusOK
 	if faults.Unhealthy {
 		setRetryAfter(w, faults.UnhealthyRetryAfter)
-		w.WriteHeader(http.StatusServiceUnavailable)
+		status = http.StatusServiceUnavailable
 	}
+	w.WriteHeader(status)
 }
 
 func setRetryAfter(w http.ResponseWriter, value string) {
--- a/testbed/soak/cluster.go
+++ b/testbed/soak/cluster.go
@@ -16,14 +16,19 @@
 	"github.com/fireflychute/fireflychute/testbed/metastore"
 )
 
-// Sizes and fixed values of a soak.
+// Fixed values of a soak.
 const (
-	nodeCount     = 4
-	instanceCount = 5
-	responseBody  = "soak answer"
-	drainTimeout  = 3 * time.Second
+	// Size of the cluster of a soak.
+	initialNodes     = 4
+	initialInstances = 5
+
+	responseBody = "soak answer"
+	drainTimeout = 3 * time.Second
 )
 
+// size is the number of processes and stand-ins of a cluster.
+type size struct{ nodes, instances int }
+
 // cluster is the set of node processes of one soak and the stand-ins for their store and instances.
 type cluster struct {
 	dir          string
@@ -53,7 +58,7 @@
 	isStopping               bool
 }
 
-func newCluster(dir, binary string) (*cluster, error) {
+func newCluster(dir, binary string, size size) (*cluster, error) {
 	w := &cluster{dir: dir, binary: binary, store: metastore.New(), instancePaths: map[*instance.Instance]*Proxy{}}
 	w.server = metastore.NewServer(w.store)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -62,7 +67,7 @@
 	}
 	go func() { _ = http.Serve(listener, w.server) }() // runs until the process exits
 	w.storeAddress = listener.Addr().String()
-	for i := range instanceCount {
+	for i := range size.instances {
 		started, err := w.startInstance(fmt.Sprintf("i-%d", i))
 		if err != nil {
 			return nil, err
@@ -70,7 +75,7 @@
 		w.register(started, "v1", "ready")
 	}
 	w.configure()
-	for i := range nodeCount {
+	for i := range size.nodes {
 		n, err := w.newNode(i)
 		if err != nil {
 			return nil, err
--- a/testbed/soak/soak.go
+++ b/testbed/soak/soak.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	w, err := newCluster(options.Dir, options.Binary)
+	w, err := newCluster(options.Dir, options.Binary, size{nodes: initialNodes, instances: initialInstances})
 	if err != nil {
 		return Result{}, err
 	}
@@ -131,7 +131,7 @@
 
 // inject injects one random fault.
 func (s *soak) inject() {
-	n := s.cluster.nodes[s.rng.IntN(nodeCount)]
+	n := s.cluster.nodes[s.rng.IntN(len(s.cluster.nodes))]
 	duration := 300*time.Millisecond + time.Duration(s.rng.Int64N(int64(3*time.Second)))
 	switch s.rng.IntN(13) {
 	case 0:
@@ -312,7 +312,7 @@
 // sampleInstance returns a random instance other than the last of the initial ones, which stays
 // free of faults.
 func (s *soak) sampleInstance() *instance.Instance {
-	return s.cluster.instances[s.rng.IntN(instanceCount-1)]
+	return s.cluster.instances[s.rng.IntN(initialInstances-1)]
 }
 
 // injectInstancePathFault applies a fault to the path from all nodes to one instance.
