--- a/pkg/canary/outcomes.go
+++ b/pkg/canary/outcomes.go
@@ -58,9 +58,6 @@
 // AvailabilityChanged implements forward.Observer. Signals from targets are not counted.
 func (o *Outcomes) AvailabilityChanged(string, forward.Availability) {}
 
-// LimitChanged implements forward.Observer.
-func (o *Outcomes) LimitChanged(quota.Change) {}
-
 // LimitIgnored implements forward.Observer.
 func (o *Outcomes) LimitIgnored(string, quota.Statement) {}
 
--- a/pkg/edge/advance_test.go
+++ b/pkg/edge/advance_test.go
@@ -9,7 +9,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/fireflychute/fireflychute/pkg/catalog"
-	"github.com/fireflychute/fireflychute/pkg/quota"
 	"github.com/fireflychute/fireflychute/pkg/replica"
 	"github.com/fireflychute/fireflychute/pkg/topology"
 )
@@ -50,7 +49,7 @@
 func TestRolledBackIsReportedAfterTheFailedStep(t *testing.T) {
 	g := NewWithT(t)
 	store := writeRecorder{kinds: make(chan replica.Kind, 4)}
-	c := newController(Options{Store: store, Codec: stubCodec{}, Log: zerolog.Nop()}, nil, nil, quota.NewTable())
+	c := newTestController(Options{Store: store, Codec: stubCodec{}, Log: zerolog.Nop()}, nil, nil)
 	now := time.Now()
 	order := topology.Order{
 		Rollout: catalog.Rollout{Service: "s", Version: "v2", Duration: time.Minute, State: catalog.RolloutInProgress}, Name: "s", ID: 7,
--- a/pkg/edge/compress.go
+++ b/pkg/edge/compress.go
@@ -31,8 +31,8 @@
 	cached map[string]string
 }
 
-// encode returns the reply to send: large ones are compressed, small ones returned as they
-// are. key identifies the content in the cache.
+// encode returns the reply to send: the deltas of large ones are compressed, small ones are
+// returned as they are. key identifies the deltas in the cache.
 func (e *replyEncoder) encode(key string, reply *message.ReplicaAnswer) (*message.ReplicaAnswer, error) {
 	if reply.Msgsize() < compressThreshold {
 		return reply, nil
@@ -48,7 +48,9 @@
 		}
 		e.store(key, compressed)
 	}
-	return &message.ReplicaAnswer{StaleMs: reply.StaleMs, Silent: reply.Silent, Packed: compressed}, nil
+	return &message.ReplicaAnswer{
+		StaleMs: reply.StaleMs, Silent: reply.Silent, Limits: reply.Limits, LimitsAsOf: reply.LimitsAsOf, Packed: compressed,
+	}, nil
 }
 
 func (e *replyEncoder) store(key, compressed string) {
@@ -64,7 +66,7 @@
 }
 
 func compress(reply *message.ReplicaAnswer) (string, error) {
-	encoded, err := reply.MarshalMsg(nil)
+	encoded, err := (&message.ReplicaAnswer{Deltas: reply.Deltas}).MarshalMsg(nil)
 	if err != nil {
 		return "", errors.Wrap(err, "encode replica reply")
 	}
--- a/pkg/edge/controller.go
+++ b/pkg/edge/controller.go
@@ -49,8 +49,11 @@
 	published *atomic.Pointer[topology.Topology]
 	client    *transport.Client
 	limits    *quota.Table
-	outcomes  *canary.Outcomes
-	inbox     chan func()
+	units     *quota.Allocator
+	// notifiedLimits is the change count of the limits of which waiting fetches were notified.
+	notifiedLimits uint64
+	outcomes       *canary.Outcomes
+	inbox          chan func()
 	// drained is closed when the last request of a stopping node has ended, or when the time
 	// to wait for it is over.
 	drained chan struct{}
@@ -86,10 +89,11 @@
 	changed chan struct{}
 }
 
-func newController(options Options, published *atomic.Pointer[topology.Topology], client *transport.Client, limits *quota.Table) *controller {
+func newController(options Options, published *atomic.Pointer[topology.Topology], client *transport.Client, limits *quota.Table, units *quota.Allocator) *controller {
 	settings := &options.Settings
 	return &controller{
-		options: options, log: options.Log, published: published, client: client, limits: limits,
+		options: options, log: options.Log, published: published, client: client,
+		limits: limits, units: units, notifiedLimits: limits.ChangeCount(),
 		outcomes: canary.NewOutcomes(),
 		inbox:    make(chan func(), 64), drained: make(chan struct{}),
 		replica: replica.New(), builder: topology.NewBuilder(settings.Node, settings.DataCentre, settings.Regions),
@@ -186,6 +190,7 @@
 	if changed {
 		c.notify()
 	}
+	c.notifyLimits()
 	c.applyPlan(ctx, now)
 	c.stats.watching.Store(c.watch.cancel != nil)
 	c.stats.storeSeenAt.Store(c.storeSeenAt.UnixMilli())
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -30,6 +30,7 @@
 	forward.ReasonBudget:          "budget",
 	forward.ReasonTargetRefused:   "target_refused",
 	forward.ReasonBackingOff:      "backing_off",
+	forward.ReasonLimited:         "limited",
 }
 
 // meter records requests and load probes in the node's metrics.
@@ -72,9 +73,6 @@
 // AvailabilityChanged implements forward.Observer.
 func (m *meter) AvailabilityChanged(string, forward.Availability) {}
 
-// LimitChanged implements forward.Observer.
-func (m *meter) LimitChanged(quota.Change) {}
-
 // LimitIgnored implements forward.Observer.
 func (m *meter) LimitIgnored(string, quota.Statement) { m.limitsIgnored.Add(1) }
 
@@ -140,6 +138,11 @@
 	for carrier, label := range carrierLabels {
 		record(telemetry.LimitedSends, p.meter.limited[carrier].Load(), "carrier", label)
 	}
+	units := &p.units.Counts
+	record(telemetry.LimitUnits, units.Own.Load(), "result", "own")
+	record(telemetry.LimitUnits, units.Granted.Load(), "result", "granted")
+	record(telemetry.LimitUnits, units.Refused.Load(), "result", "refused")
+	record(telemetry.LimitUnits, units.Failed.Load(), "result", "failed")
 	record(telemetry.LimitsIgnored, p.meter.limitsIgnored.Load())
 	record(telemetry.LimitedTargets, int64(p.limits.LimitedCount()))
 	record(telemetry.PeerDropped, int64(p.control.peers.Dropped()))
--- a/pkg/edge/probe_test.go
+++ b/pkg/edge/probe_test.go
@@ -10,12 +10,11 @@
 
 	"github.com/fireflychute/fireflychute/pkg/catalog"
 	"github.com/fireflychute/fireflychute/pkg/message"
-	"github.com/fireflychute/fireflychute/pkg/quota"
 	"github.com/fireflychute/fireflychute/pkg/replica"
 )
 
 func testController(name string) *controller {
-	return newController(Options{Settings: Settings{Node: name}, Log: zerolog.Nop()}, nil, nil, quota.NewTable())
+	return newTestController(Options{Settings: Settings{Node: name}, Log: zerolog.Nop()}, nil, nil)
 }
 
 func isMarkedSilent(reply *message.ReplicaAnswer, _ bool) bool { return reply.Silent }
--- a/pkg/edge/process.go
+++ b/pkg/edge/process.go
@@ -21,6 +21,7 @@
 	"github.com/fireflychute/fireflychute/pkg/experiment"
 	"github.com/fireflychute/fireflychute/pkg/forward"
 	"github.com/fireflychute/fireflychute/pkg/liblog"
+	"github.com/fireflychute/fireflychute/pkg/peer"
 	"github.com/fireflychute/fireflychute/pkg/quota"
 	"github.com/fireflychute/fireflychute/pkg/telemetry"
 	"github.com/fireflychute/fireflychute/pkg/topology"
@@ -74,6 +75,8 @@
 	control   *controller
 	client    *transport.Client
 	limits    *quota.Table
+	units     *quota.Allocator
+	quota     quotaPeers
 	draining  atomic.Bool
 	meter     *meter
 }
@@ -104,7 +107,7 @@
 
 // New returns a node that does not serve yet.
 func New(options Options) (*Process, error) {
-	p := &Process{options: options, log: options.Log, limits: quota.NewTable()}
+	p := &Process{options: options, log: options.Log}
 	metrics, err := telemetry.New(context.Background(), telemetry.Options{Node: options.Settings.Node})
 	if err != nil {
 		return nil, errors.Wrap(err, "start telemetry")
@@ -112,10 +115,14 @@
 	p.meter = &meter{telemetry: metrics}
 	settings := &options.Settings
 	p.client = transport.NewClientWith(transport.Options{IdleTimeout: idleConnTimeout, UserTimeout: targetAckTimeout})
-	p.control = newController(options, &p.published, p.client, p.limits)
+	requests := newRequestLog(options.Log)
+	p.limits = quota.NewTable(requests.LimitChanged)
+	p.quota = quotaPeers{peer.NewClient(settings.Node, nil)}
+	p.units = quota.NewAllocator(settings.Node, p.limits, p.quota)
+	p.control = newController(options, &p.published, p.client, p.limits, p.units)
 	p.handler = forward.NewHandler(forward.Options{
-		Published: &p.published, Client: p.client, Protocol: options.Protocol, Limits: p.limits,
-		Observer:   observers{newRequestLog(options.Log), p.control.outcomes, p.meter},
+		Published: &p.published, Client: p.client, Protocol: options.Protocol, Limits: p.limits, Units: p.units,
+		Observer:   observers{requests, p.control.outcomes, p.meter},
 		RetryRatio: settings.RetryRatio * retryBudgetShare, RetryExtra: settings.RetryExtra * retryBudgetShare,
 		RetryWindow: settings.RetryWindow, Disabled: options.Disabled,
 		Random: rand.NewPCG(rand.Uint64(), rand.Uint64()),
@@ -196,6 +203,8 @@
 func (p *Process) addControl(group *run.Group) {
 	ctx, cancel := context.WithCancel(context.Background())
 	group.Add(func() error {
+		defer p.quota.client.Close()
+		go p.control.maintainLimits(ctx, p.handler.VerifyLimits)
 		return p.control.run(ctx)
 	}, func(error) {
 		// The node still serves requests while it drains, so the control goroutine runs until
--- a/pkg/edge/requestlog.go
+++ b/pkg/edge/requestlog.go
@@ -65,10 +65,13 @@
 		Msg("target is leaving or requested a backoff; sending it no requests until it restarts or retryAfter has passed")
 }
 
-// LimitChanged implements forward.Observer.
+// LimitChanged logs a change of a limit, which a target or a peer has reported.
 func (l *requestLog) LimitChanged(change quota.Change) {
+	if !change.Current.Limited && !change.Previous.Limited {
+		return
+	}
 	l.log.Info().Str("target", change.Current.Target).Bool("limited", change.Current.Limited).Float64("limit", change.Current.Rate).
-		Float64("previous", change.Previous.Rate).Uint64("version", change.Current.Version).
+		Float64("previous", change.Previous.Rate).Uint64("version", change.Current.Version).Str("peer", change.Source).
 		Msg("limit of target changed")
 }
 
@@ -149,7 +152,7 @@
 		e.Bool("hedge", true)
 	}
 	if a.Limited {
-		e.Float64("limit", a.Limit)
+		e.Float64("limit", a.Limit).Bool("unprobed", a.Unprobed)
 	}
 	if a.Failure != "" {
 		e.Str("failure", a.Failure).Bool("notRun", a.NotRun)
@@ -187,13 +190,6 @@
 	}
 }
 
-// LimitChanged implements forward.Observer.
-func (o observers) LimitChanged(change quota.Change) {
-	for _, observer := range o {
-		observer.LimitChanged(change)
-	}
-}
-
 // LimitIgnored implements forward.Observer.
 func (o observers) LimitIgnored(target string, said quota.Statement) {
 	for _, observer := range o {
--- a/pkg/edge/start_test.go
+++ b/pkg/edge/start_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/fireflychute/fireflychute/pkg/catalog"
 	"github.com/fireflychute/fireflychute/pkg/peer"
-	"github.com/fireflychute/fireflychute/pkg/quota"
 	"github.com/fireflychute/fireflychute/pkg/replica"
 	"github.com/fireflychute/fireflychute/pkg/topology"
 )
@@ -21,7 +20,7 @@
 func TestStartingNodeNotifiesFollowersOnlyOfChanges(t *testing.T) {
 	g := NewWithT(t)
 	var published atomic.Pointer[topology.Topology]
-	c := newController(Options{Settings: Settings{Node: "n1", FirstStart: true}, Log: zerolog.Nop()}, &published, nil, quota.NewTable())
+	c := newTestController(Options{Settings: Settings{Node: "n1", FirstStart: true}, Log: zerolog.Nop()}, &published, nil)
 	c.peers = peer.NewClient("n1", nil)
 	defer c.peers.Close()
 	ctx, cancel := context.WithCancel(t.Context())
@@ -89,7 +88,7 @@
 		staleLists: map[replica.Kind]int{}, lists: map[replica.Kind]int{},
 		stale: []replica.Object{{Name: "a", Revision: 4}}, current: []replica.Object{{Name: "a", Revision: 8}},
 	}
-	c := newController(Options{Store: store, Log: zerolog.Nop()}, nil, nil, quota.NewTable())
+	c := newTestController(Options{Store: store, Log: zerolog.Nop()}, nil, nil)
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
 	go func() {
--- a/pkg/edge/sync.go
+++ b/pkg/edge/sync.go
@@ -121,9 +121,14 @@
 
 // followNode fetches changes from a node until the context ends.
 func (c *controller) followNode(ctx context.Context, node catalog.Node) {
+	var exchange limitsExchange
 	for ctx.Err() == nil {
 		var fetch *message.ReplicaFetch
-		if !c.do(ctx, func() { fetch = c.newFetch() }) {
+		var limitsSent uint64
+		if !c.do(ctx, func() {
+			fetch = c.newFetch()
+			limitsSent = c.addLimits(fetch, exchange)
+		}) {
 			return
 		}
 		reply, err := c.fetch(ctx, node.Address, fetch)
@@ -139,6 +144,10 @@
 			c.applyReply(time.Now(), node, reply, deltas, err)
 			complete = c.hasAllKinds()
 		})
+		exchange = limitsExchange{} // a followed node that has restarted knows no limits
+		if err == nil {
+			exchange = limitsExchange{sent: limitsSent, seen: reply.LimitsAsOf}
+		}
 		switch {
 		case err != nil && complete:
 			wait.For(ctx, minBackoff)
@@ -184,6 +193,7 @@
 		return
 	}
 	c.sourceSeenAt = now
+	c.mergeLimits(node.Name, reply.Limits)
 	age := time.Duration(reply.StaleMs) * time.Millisecond
 	switch {
 	case age > staleThreshold:
@@ -234,9 +244,12 @@
 	return encoded
 }
 
-// handleMessage replies to a replica fetch of another node. It runs on the connection's
-// goroutine and returns nil, no reply, for any other message.
+// handleMessage replies to a replica fetch or a quota ask of another node. It runs on the
+// connection's goroutine and returns nil, no reply, for any other message.
 func (c *controller) handleMessage(from string, received message.Message) *message.Message {
+	if received.QuotaAsk != nil {
+		return c.replyToAsk(from, received.QuotaAsk)
+	}
 	fetch := received.ReplicaFetch
 	if fetch == nil || len(fetch.Have) != len(replica.Kinds()) {
 		return nil
@@ -245,7 +258,10 @@
 	defer cancel()
 	timer := time.NewTimer(min(time.Duration(fetch.WaitMs)*time.Millisecond, fetchWait))
 	defer timer.Stop()
-	c.do(ctx, func() { c.recordReport(from, fetch) })
+	c.do(ctx, func() {
+		c.recordReport(from, fetch)
+		c.mergeLimits(from, fetch.Limits)
+	})
 	for {
 		changeSignal := c.changeSignal()
 		var reply *message.ReplicaAnswer
@@ -286,6 +302,11 @@
 			changed = changed || !delta.IsEmpty()
 		}
 	}
+	reply.LimitsAsOf = c.limits.ChangeCount()
+	if reply.LimitsAsOf != fetch.LimitsSeen {
+		reply.Limits = encodeLimits(c.limits.All())
+		changed = changed || len(reply.Limits) > 0
+	}
 	return reply, changed
 }
 
--- a/pkg/edge/sync_test.go
+++ b/pkg/edge/sync_test.go
@@ -10,8 +10,6 @@
 	"github.com/fireflychute/fireflychute/pkg/catalog"
 	"github.com/fireflychute/fireflychute/pkg/follow"
 	"github.com/fireflychute/fireflychute/pkg/message"
-
-	"github.com/fireflychute/fireflychute/pkg/quota"
 )
 
 // Guards against a target that left but still receives requests because a followed node is
@@ -27,7 +25,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			control := newController(Options{Log: zerolog.Nop()}, nil, nil, quota.NewTable())
+			control := newTestController(Options{Log: zerolog.Nop()}, nil, nil)
 			if c.watching {
 				control.watch.cancel = func() {}
 			}
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -9,7 +9,6 @@
 
 	"github.com/fireflychute/fireflychute/pkg/catalog"
 	"github.com/fireflychute/fireflychute/pkg/follow"
-	"github.com/fireflychute/fireflychute/pkg/quota"
 	"github.com/fireflychute/fireflychute/pkg/replica"
 	"github.com/fireflychute/fireflychute/pkg/topology"
 )
@@ -127,6 +126,7 @@
 		c.view.nodes = append(c.view.nodes, node)
 	}
 	c.view.ranked = follow.Rank(c.view.nodes)
+	c.shareNodes()
 }
 
 func (c *controller) decodeOrders() {
@@ -205,15 +205,3 @@
 	c.stats.revision.Store(int64(c.view.revision))
 	c.stats.fleetSize.Store(int64(len(input.Nodes)))
 }
-
-// sweepLimits drops the limits of targets that are gone.
-func (c *controller) sweepLimits(now time.Time, targets []catalog.Target) {
-	if c.limits.IsEmpty() {
-		return
-	}
-	listed := make(map[quota.Key]bool, len(targets))
-	for i := range targets {
-		listed[quota.Key{Target: targets[i].ID, Incarnation: targets[i].Incarnation}] = true
-	}
-	c.limits.Sweep(listed, now)
-}
--- a/pkg/edge/view_bench_test.go
+++ b/pkg/edge/view_bench_test.go
@@ -9,7 +9,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/fireflychute/fireflychute/pkg/catalog"
-	"github.com/fireflychute/fireflychute/pkg/quota"
 	"github.com/fireflychute/fireflychute/pkg/replica"
 	"github.com/fireflychute/fireflychute/pkg/topology"
 	"github.com/fireflychute/fireflychute/pkg/transport"
@@ -37,7 +36,7 @@
 		b.Run(fmt.Sprintf("%d targets, %d nodes", size.targets, size.nodes), func(b *testing.B) {
 			var published atomic.Pointer[topology.Topology]
 			options := Options{Settings: Settings{Node: "0n", DataCentre: "dc0"}, Codec: benchCodec{}, Log: zerolog.Nop()}
-			c := newController(options, &published, transport.NewClient(), quota.NewTable())
+			c := newTestController(options, &published, transport.NewClient())
 			now := time.Now()
 			c.storeSeenAt = now
 			objects := func(count int, kind string) (all []replica.Object) {
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -57,7 +57,7 @@
 	a := attempt{target: target, candidate: selected.candidate, cancel: cancel, start: time.Now(), record: Attempt{
 		Target: target.ID, Version: target.Version, Canary: selected.canary, Order: c.service.Order,
 		Load: selected.load(), Probed: selected.probed, Responded: selected.responded, Cost: selected.cost,
-		Age: time.Since(selected.receivedAt), Hedge: isHedge,
+		Age: time.Since(selected.receivedAt), Unprobed: selected.unprobed, Hedge: isHedge,
 	}}
 	if limit, limited := c.handler.options.Limits.Get(keyOf(target)); limited {
 		a.record.Limited, a.record.Limit = true, limit.Rate
@@ -214,7 +214,9 @@
 	r.target.Observed.End(time.Now(), failed)
 	if !failed {
 		c.routeState.latency.add(r.record.Latency)
-		c.routeState.model.ObserveLatency(r.candidate, r.record.Latency)
+		if !r.record.Unprobed {
+			c.routeState.model.ObserveLatency(r.candidate, r.record.Latency)
+		}
 		c.serviceState.overload.RecordRequest(false)
 	}
 }
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -184,7 +184,7 @@
 	}
 	state.overload.RecordRequest(true)
 	delay := state.overload.RetryAfter(fraction)
-	if reason == ReasonBackingOff {
+	if reason == ReasonBackingOff || reason == ReasonLimited {
 		delay += c.backOff
 	}
 	return delay
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -27,6 +27,8 @@
 	Observer  Observer
 	// Limits holds the limits that targets have named.
 	Limits *quota.Table
+	// Units decides which requests may be sent to targets with a limit.
+	Units *quota.Allocator
 	// RetryRatio, RetryExtra and RetryWindow are the fleet's retry budget per service.
 	RetryRatio  float64
 	RetryExtra  float64
--- a/pkg/forward/hedge.go
+++ b/pkg/forward/hedge.go
@@ -123,9 +123,11 @@
 }
 
 // selectHedgeTarget returns the target of a hedge, or nil if no target has a free slot, other
-// requests wait for one, or the retry budget is used up.
+// requests wait for one, or the retry budget is used up. A hedge takes no unit of a limit from a
+// request that has no other target.
 func (c *call) selectHedgeTarget() *selectedTarget {
-	hedge, _ := c.selectTarget(roundFirst)
+	pool, canary := c.selectPool()
+	hedge, _ := c.selectUnlimited(pool, canary, roundFirst)
 	if hedge == nil || hedge.candidate.Running >= hedge.candidate.Slots || !c.serviceState.waitlist.IsEmpty() {
 		return nil
 	}
--- /dev/null
+++ b/pkg/forward/limited.go
@@ -0,0 +1,96 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/placement"
+	"github.com/fireflychute/fireflychute/pkg/topology"
+	"github.com/fireflychute/fireflychute/pkg/warmup"
+)
+
+// limitedTargets returns the targets of a pool that may serve the request and that name a limit too
+// low for load probes: each probe would take the place of a request.
+func (c *call) limitedTargets(pool *topology.Pool) []*topology.Target {
+	options := &c.handler.options
+	if options.Limits.IsEmpty() {
+		return nil
+	}
+	var limited []*topology.Target
+	now := time.Now()
+	for _, target := range pool.All() {
+		limit, isLimited := options.Limits.Get(keyOf(target))
+		if isLimited && !options.Units.IsDivided(limit) && c.isUsable(target, now) {
+			limited = append(limited, target)
+		}
+	}
+	return withRandom(c.handler, func(random *rand.Rand) []*topology.Target {
+		return placement.Sample(random, limited, len(limited))
+	})
+}
+
+// isUsable reports whether the request may be sent to a target that is not probed first.
+func (c *call) isUsable(target *topology.Target, now time.Time) bool {
+	if !c.route.Allows(target) || c.wasAttempted(target) {
+		return false
+	}
+	view := target.Observed.View(now)
+	return !view.Leaving && !view.Ejected && view.BackOff == 0 && view.Pending < max(1, target.Slots) && target.Observed.CanAcquire(now)
+}
+
+// claimOwn claims a unit that this node holds itself of the limit of a target that does not fail. It
+// returns nil if there is none.
+func (c *call) claimOwn(limited []*topology.Target) *selectedTarget {
+	for _, target := range limited {
+		selected := c.unprobed(target)
+		if placement.IsGood(selected.cost) && c.handler.options.Units.TryOwn(keyOf(target)) && c.claimWarmup(target) {
+			return selected
+		}
+	}
+	return nil
+}
+
+// claimGranted asks the owners of the limits for a unit, one after the other. It returns the time
+// until the first of them has one again if none has.
+func (c *call) claimGranted(limited []*topology.Target) (*selectedTarget, time.Duration) {
+	var shortest time.Duration
+	for _, target := range limited {
+		grant := c.handler.options.Units.Acquire(c.ctx, keyOf(target))
+		if grant.OK && c.claimWarmup(target) {
+			return c.unprobed(target), 0
+		}
+		if shortest == 0 || grant.Wait < shortest {
+			shortest = grant.Wait
+		}
+	}
+	return nil, shortest
+}
+
+// claimWarmup claims a slot of the target's warm-up limit if the target is cold.
+func (c *call) claimWarmup(target *topology.Target) bool {
+	return target.Observed.Acquire(time.Now(), warmup.Interval(c.service.WarmupRate, c.topology.FleetSize))
+}
+
+// unprobed returns a limited target as a selection. It counts as idle, since it gets little.
+func (c *call) unprobed(target *topology.Target) *selectedTarget {
+	now := time.Now()
+	view := target.Observed.View(now)
+	candidate := placement.Candidate{Slots: target.Slots, Slowdown: 1, Cold: view.Cold, Local: target.Local, FailureRate: view.FailureRate}
+	return &selectedTarget{
+		probeResult: probeResult{target: target, candidate: candidate, healthy: true, ok: true, receivedAt: now},
+		cost:        c.routeState.model.Cost(candidate), prediction: placement.MeetsObjective, unprobed: true,
+	}
+}
+
+// limitedReason returns why there is no target, given the reason why there is none without a limit
+// and the time until the first limited target has a unit, 0 if there is no limited target.
+func (c *call) limitedReason(reason string, wait time.Duration) string {
+	if wait == 0 || reason != ReasonNoTarget && reason != ReasonBackingOff {
+		return reason
+	}
+	if reason == ReasonBackingOff && c.backOff <= wait {
+		return reason
+	}
+	c.backOff = wait
+	return ReasonLimited
+}
--- a/pkg/forward/probe.go
+++ b/pkg/forward/probe.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/fireflychute/fireflychute/pkg/experiment"
@@ -83,10 +84,18 @@
 // continues after the request was sent elsewhere, since a failed probe is relevant to later
 // requests.
 func (h *Handler) probe(path string, warmupRate float64, fleet int, target *topology.Target) probeResult {
+	_, limited := h.options.Limits.Get(keyOf(target))
+	if limited && !h.options.Units.TryOwn(keyOf(target)) {
+		return probeResult{target: target}
+	}
+	return h.sendProbe(path, warmupRate, fleet, target, limited)
+}
+
+// sendProbe sends a load probe. A unit of the target's limit was taken for it if there is one.
+func (h *Handler) sendProbe(path string, warmupRate float64, fleet int, target *topology.Target, limited bool) probeResult {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	sentAt := time.Now()
-	_, limited := h.options.Limits.Get(keyOf(target))
 	report, err := h.fetchLoadReport(ctx, path, target)
 	now := time.Now()
 	failed := err != nil
@@ -162,13 +171,26 @@
 		h.options.Observer.LimitIgnored(target.ID, said)
 		return
 	}
-	change, changed := h.options.Limits.Observe(keyOf(target), said, sentAt, time.Now())
-	if changed {
-		h.options.Observer.LimitChanged(change)
-	}
+	h.options.Limits.Observe(keyOf(target), said, sentAt, time.Now())
 }
 
 // keyOf returns the key under which the limit of a target is known.
 func keyOf(target *topology.Target) quota.Key {
 	return quota.Key{Target: target.ID, Incarnation: target.Incarnation}
 }
+
+// VerifyLimits sends a load probe to each of the targets, to notice that they have no limit any
+// more. A unit of each limit was taken for it.
+func (h *Handler) VerifyLimits(keys []quota.Key) {
+	current := h.options.Published.Load()
+	if current == nil {
+		return
+	}
+	for _, service := range current.Services {
+		for _, target := range slices.Concat(service.Main.All(), service.Canary.All()) {
+			if slices.Contains(keys, keyOf(target)) {
+				go h.sendProbe(service.HealthPath, service.WarmupRate, current.FleetSize, target, true)
+			}
+		}
+	}
+}
--- a/pkg/forward/record.go
+++ b/pkg/forward/record.go
@@ -28,6 +28,7 @@
 	ReasonWrongResponse   = "target answered with something else"
 	ReasonSuperseded      = "another target answered first"
 	ReasonBackingOff      = "targets want no request yet"
+	ReasonLimited         = "limits of all targets are used up"
 )
 
 // Record describes how one request was handled and why.
@@ -83,6 +84,8 @@
 	// Slow is set if the attempt took much longer than usual and was reported to
 	// Observer.SlowAttempt.
 	Slow bool
+	// Unprobed is set if the target is limited, so that its load was not asked first.
+	Unprobed bool
 	// Hedge is set if the attempt began while another one of the request was running.
 	Hedge bool
 	// Limited is set if the node knew of a limit of the target when it sent the request, and Limit
@@ -108,8 +111,6 @@
 	Probed(probe Probe)
 	// AvailabilityChanged is called when a target starts to leave or asks this node to back off.
 	AvailabilityChanged(target string, availability Availability)
-	// LimitChanged is called when a response of a target starts, changes or ends its limit.
-	LimitChanged(change quota.Change)
 	// LimitIgnored is called for each response that names something that is not a limit.
 	LimitIgnored(target string, said quota.Statement)
 }
--- a/pkg/forward/sample.go
+++ b/pkg/forward/sample.go
@@ -157,6 +157,8 @@
 	}
 	view := target.Observed.View(s.now)
 	switch {
+	case !s.call.mayProbe(target):
+		return targetUnusable
 	case view.Leaving || view.BackOff > 0 || !target.Observed.CanAcquire(s.now):
 		return targetUnusable
 	case view.Ejected:
@@ -168,6 +170,13 @@
 	}
 }
 
+// mayProbe reports whether the limit of a target, if it names one, leaves room for load probes.
+func (c *call) mayProbe(target *topology.Target) bool {
+	options := &c.handler.options
+	limit, limited := options.Limits.Get(keyOf(target))
+	return !limited || options.Units.IsDivided(limit)
+}
+
 func (s *sampler) wasProbed(target *topology.Target) bool {
 	for i := range s.probed {
 		if s.probed[i].target.Observed == target.Observed {
--- a/pkg/forward/select.go
+++ b/pkg/forward/select.go
@@ -17,12 +17,35 @@
 	prediction placement.Prediction
 	probed     int
 	responded  int
+	// unprobed is set for a limited target, whose load was not asked.
+	unprobed bool
 }
 
 // selectTarget selects a target, starting with the given round of probes. It returns the reason
-// if there is none. Requests for which the canary has no target go to the main version.
+// if there is none. Requests for which the canary has no target go to the main version. Limited
+// targets are used if this node holds a unit of the limit, or if no other target is left.
 func (c *call) selectTarget(from round) (*selectedTarget, string) {
 	pool, canary := c.selectPool()
+	limited := c.limitedTargets(pool)
+	selected := c.claimOwn(limited)
+	if selected != nil {
+		selected.canary = canary
+		return selected, ""
+	}
+	selected, reason := c.selectUnlimited(pool, canary, from)
+	if selected != nil || c.ctx.Err() != nil {
+		return selected, reason
+	}
+	selected, wait := c.claimGranted(limited)
+	if selected != nil {
+		selected.canary = canary
+		return selected, ""
+	}
+	return nil, c.limitedReason(reason, wait)
+}
+
+// selectUnlimited selects a target that has no limit of its own.
+func (c *call) selectUnlimited(pool *topology.Pool, canary bool, from round) (*selectedTarget, string) {
 	selected, reason := c.selectFrom(pool, canary, from)
 	if selected == nil && canary && c.ctx.Err() == nil {
 		return c.selectFrom(&c.service.Main, false, from)
@@ -107,7 +130,7 @@
 	for _, healthy := range []bool{true, false} {
 		best := c.bestCandidate(results, healthy)
 		for best != nil {
-			if best.target.Observed.Acquire(time.Now(), interval) {
+			if c.handler.options.Units.TryOwn(keyOf(best.target)) && best.target.Observed.Acquire(time.Now(), interval) {
 				return best, ""
 			}
 			results = excludeTarget(results, best.target)
--- a/pkg/message/codec_gen.go
+++ b/pkg/message/codec_gen.go
@@ -1302,8 +1302,8 @@
 func (z *Message) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(15)
-	var zb0001Mask uint16 /* 15 bits */
+	zb0001Len := uint32(17)
+	var zb0001Mask uint32 /* 17 bits */
 	_ = zb0001Mask
 	if z.Ack == nil {
 		zb0001Len--
@@ -1329,32 +1329,40 @@
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
-	if z.ReplicaAnswer == nil {
+	if z.QuotaAsk == nil {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
-	if z.ReplicaFetch == nil {
+	if z.QuotaReply == nil {
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
-	if z.SyncReply == nil {
+	if z.ReplicaAnswer == nil {
 		zb0001Len--
 		zb0001Mask |= 0x800
 	}
-	if z.SyncRequest == nil {
+	if z.ReplicaFetch == nil {
 		zb0001Len--
 		zb0001Mask |= 0x1000
 	}
-	if z.VmAnswer == nil {
+	if z.SyncReply == nil {
 		zb0001Len--
 		zb0001Mask |= 0x2000
 	}
-	if z.VmFetch == nil {
+	if z.SyncRequest == nil {
 		zb0001Len--
 		zb0001Mask |= 0x4000
 	}
+	if z.VmAnswer == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8000
+	}
+	if z.VmFetch == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10000
+	}
 	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
+	o = msgp.AppendMapHeader(o, zb0001Len)
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
@@ -1445,6 +1453,50 @@
 			}
 		}
 		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "quotaAsk"
+			o = append(o, 0xa8, 0x71, 0x75, 0x6f, 0x74, 0x61, 0x41, 0x73, 0x6b)
+			if z.QuotaAsk == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				// map header, size 3
+				// string "checkOnly"
+				o = append(o, 0x83, 0xa9, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x4f, 0x6e, 0x6c, 0x79)
+				o = msgp.AppendBool(o, z.QuotaAsk.CheckOnly)
+				// string "limit"
+				o = append(o, 0xa5, 0x6c, 0x69, 0x6d, 0x69, 0x74)
+				o, err = z.QuotaAsk.Limit.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "QuotaAsk", "Limit")
+					return
+				}
+				// string "relayed"
+				o = append(o, 0xa7, 0x72, 0x65, 0x6c, 0x61, 0x79, 0x65, 0x64)
+				o = msgp.AppendBool(o, z.QuotaAsk.Relayed)
+			}
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "quotaReply"
+			o = append(o, 0xaa, 0x71, 0x75, 0x6f, 0x74, 0x61, 0x52, 0x65, 0x70, 0x6c, 0x79)
+			if z.QuotaReply == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				// map header, size 3
+				// string "granted"
+				o = append(o, 0x83, 0xa7, 0x67, 0x72, 0x61, 0x6e, 0x74, 0x65, 0x64)
+				o = msgp.AppendBool(o, z.QuotaReply.Granted)
+				// string "limit"
+				o = append(o, 0xa5, 0x6c, 0x69, 0x6d, 0x69, 0x74)
+				o, err = z.QuotaReply.Limit.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "QuotaReply", "Limit")
+					return
+				}
+				// string "waitMs"
+				o = append(o, 0xa6, 0x77, 0x61, 0x69, 0x74, 0x4d, 0x73)
+				o = msgp.AppendInt(o, z.QuotaReply.WaitMs)
+			}
+		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// string "replicaAnswer"
 			o = append(o, 0xad, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x41, 0x6e, 0x73, 0x77, 0x65, 0x72)
 			if z.ReplicaAnswer == nil {
@@ -1457,7 +1509,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
 			// string "replicaFetch"
 			o = append(o, 0xac, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x46, 0x65, 0x74, 0x63, 0x68)
 			if z.ReplicaFetch == nil {
@@ -1470,7 +1522,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x800) == 0 { // if not omitted
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
 			// string "syncReply"
 			o = append(o, 0xa9, 0x73, 0x79, 0x6e, 0x63, 0x52, 0x65, 0x70, 0x6c, 0x79)
 			if z.SyncReply == nil {
@@ -1483,7 +1535,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
 			// string "syncRequest"
 			o = append(o, 0xab, 0x73, 0x79, 0x6e, 0x63, 0x52, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
 			if z.SyncRequest == nil {
@@ -1496,7 +1548,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+		if (zb0001Mask & 0x8000) == 0 { // if not omitted
 			// string "vmAnswer"
 			o = append(o, 0xa8, 0x76, 0x6d, 0x41, 0x6e, 0x73, 0x77, 0x65, 0x72)
 			if z.VmAnswer == nil {
@@ -1508,7 +1560,7 @@
 				o = msgp.AppendBytes(o, z.VmAnswer.List)
 			}
 		}
-		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+		if (zb0001Mask & 0x10000) == 0 { // if not omitted
 			// string "vmFetch"
 			o = append(o, 0xa7, 0x76, 0x6d, 0x46, 0x65, 0x74, 0x63, 0x68)
 			if z.VmFetch == nil {
@@ -1693,6 +1745,118 @@
 					return
 				}
 			}
+		case "quotaAsk":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.QuotaAsk = nil
+			} else {
+				if z.QuotaAsk == nil {
+					z.QuotaAsk = new(QuotaAsk)
+				}
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "QuotaAsk")
+					return
+				}
+				if zb0003 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "QuotaAsk")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "checkOnly":
+						z.QuotaAsk.CheckOnly, bts, err = msgp.ReadBoolBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "QuotaAsk", "CheckOnly")
+							return
+						}
+					case "limit":
+						bts, err = z.QuotaAsk.Limit.UnmarshalMsg(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "QuotaAsk", "Limit")
+							return
+						}
+					case "relayed":
+						z.QuotaAsk.Relayed, bts, err = msgp.ReadBoolBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "QuotaAsk", "Relayed")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "QuotaAsk")
+							return
+						}
+					}
+				}
+			}
+		case "quotaReply":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.QuotaReply = nil
+			} else {
+				if z.QuotaReply == nil {
+					z.QuotaReply = new(QuotaReply)
+				}
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "QuotaReply")
+					return
+				}
+				if zb0004 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "QuotaReply")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "granted":
+						z.QuotaReply.Granted, bts, err = msgp.ReadBoolBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "QuotaReply", "Granted")
+							return
+						}
+					case "limit":
+						bts, err = z.QuotaReply.Limit.UnmarshalMsg(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "QuotaReply", "Limit")
+							return
+						}
+					case "waitMs":
+						z.QuotaReply.WaitMs, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "QuotaReply", "WaitMs")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "QuotaReply")
+							return
+						}
+					}
+				}
+			}
 		case "replicaAnswer":
 			if msgp.IsNil(bts) {
 				bts, err = msgp.ReadNilBytes(bts)
@@ -1772,18 +1936,18 @@
 				if z.VmAnswer == nil {
 					z.VmAnswer = new(VmAnswer)
 				}
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "VmAnswer")
 					return
 				}
-				if zb0003 > zf88ce922limitMaps {
+				if zb0005 > zf88ce922limitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
+				for zb0005 > 0 {
+					zb0005--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "VmAnswer")
@@ -1791,27 +1955,27 @@
 					}
 					switch msgp.UnsafeString(field) {
 					case "list":
-						var zb0004 uint32
-						zb0004, bts, err = msgp.ReadBytesHeader(bts)
+						var zb0006 uint32
+						zb0006, bts, err = msgp.ReadBytesHeader(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "VmAnswer", "List")
 							return
 						}
-						if zb0004 > zf88ce922limitArrays {
+						if zb0006 > zf88ce922limitArrays {
 							err = msgp.ErrLimitExceeded
 							return
 						}
-						if z.VmAnswer.List == nil || uint32(cap(z.VmAnswer.List)) < zb0004 {
-							z.VmAnswer.List = make([]byte, zb0004)
+						if z.VmAnswer.List == nil || uint32(cap(z.VmAnswer.List)) < zb0006 {
+							z.VmAnswer.List = make([]byte, zb0006)
 						} else {
-							z.VmAnswer.List = z.VmAnswer.List[:zb0004]
+							z.VmAnswer.List = z.VmAnswer.List[:zb0006]
 						}
-						if uint32(len(bts)) < zb0004 {
+						if uint32(len(bts)) < zb0006 {
 							err = msgp.ErrShortBytes
 							return
 						}
-						copy(z.VmAnswer.List, bts[:zb0004])
-						bts = bts[zb0004:]
+						copy(z.VmAnswer.List, bts[:zb0006])
+						bts = bts[zb0006:]
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -1832,18 +1996,18 @@
 				if z.VmFetch == nil {
 					z.VmFetch = new(VmFetch)
 				}
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "VmFetch")
 					return
 				}
-				if zb0005 > zf88ce922limitMaps {
+				if zb0007 > zf88ce922limitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0005 > 0 {
-					zb0005--
+				for zb0007 > 0 {
+					zb0007--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "VmFetch")
@@ -1879,7 +2043,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Message) Msgsize() (s int) {
-	s = 1 + 4
+	s = 3 + 4
 	if z.Ack == nil {
 		s += msgp.NilSize
 	} else {
@@ -1915,6 +2079,18 @@
 	} else {
 		s += z.PingRequest.Msgsize()
 	}
+	s += 9
+	if z.QuotaAsk == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 10 + msgp.BoolSize + 6 + z.QuotaAsk.Limit.Msgsize() + 8 + msgp.BoolSize
+	}
+	s += 11
+	if z.QuotaReply == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 8 + msgp.BoolSize + 6 + z.QuotaReply.Limit.Msgsize() + 7 + msgp.IntSize
+	}
 	s += 14
 	if z.ReplicaAnswer == nil {
 		s += msgp.NilSize
@@ -2348,12 +2524,168 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *QuotaAsk) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "checkOnly"
+	o = append(o, 0x83, 0xa9, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x4f, 0x6e, 0x6c, 0x79)
+	o = msgp.AppendBool(o, z.CheckOnly)
+	// string "limit"
+	o = append(o, 0xa5, 0x6c, 0x69, 0x6d, 0x69, 0x74)
+	o, err = z.Limit.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Limit")
+		return
+	}
+	// string "relayed"
+	o = append(o, 0xa7, 0x72, 0x65, 0x6c, 0x61, 0x79, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Relayed)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *QuotaAsk) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "checkOnly":
+			z.CheckOnly, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "CheckOnly")
+				return
+			}
+		case "limit":
+			bts, err = z.Limit.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Limit")
+				return
+			}
+		case "relayed":
+			z.Relayed, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Relayed")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *QuotaAsk) Msgsize() (s int) {
+	s = 1 + 10 + msgp.BoolSize + 6 + z.Limit.Msgsize() + 8 + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *QuotaReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "granted"
+	o = append(o, 0x83, 0xa7, 0x67, 0x72, 0x61, 0x6e, 0x74, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Granted)
+	// string "limit"
+	o = append(o, 0xa5, 0x6c, 0x69, 0x6d, 0x69, 0x74)
+	o, err = z.Limit.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Limit")
+		return
+	}
+	// string "waitMs"
+	o = append(o, 0xa6, 0x77, 0x61, 0x69, 0x74, 0x4d, 0x73)
+	o = msgp.AppendInt(o, z.WaitMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *QuotaReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "granted":
+			z.Granted, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Granted")
+				return
+			}
+		case "limit":
+			bts, err = z.Limit.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Limit")
+				return
+			}
+		case "waitMs":
+			z.WaitMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WaitMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *QuotaReply) Msgsize() (s int) {
+	s = 1 + 8 + msgp.BoolSize + 6 + z.Limit.Msgsize() + 7 + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *ReplicaAnswer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 6
 	// string "deltas"
-	o = append(o, 0x84, 0xa6, 0x64, 0x65, 0x6c, 0x74, 0x61, 0x73)
+	o = append(o, 0x86, 0xa6, 0x64, 0x65, 0x6c, 0x74, 0x61, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Deltas)))
 	for za0001 := range z.Deltas {
 		o, err = z.Deltas[za0001].MarshalMsg(o)
@@ -2362,6 +2694,19 @@
 			return
 		}
 	}
+	// string "limits"
+	o = append(o, 0xa6, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Limits)))
+	for za0002 := range z.Limits {
+		o, err = z.Limits[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Limits", za0002)
+			return
+		}
+	}
+	// string "limitsAsOf"
+	o = append(o, 0xaa, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x73, 0x41, 0x73, 0x4f, 0x66)
+	o = msgp.AppendUint64(o, z.LimitsAsOf)
 	// string "packed"
 	o = append(o, 0xa6, 0x70, 0x61, 0x63, 0x6b, 0x65, 0x64)
 	o = msgp.AppendString(o, z.Packed)
@@ -2419,6 +2764,35 @@
 					return
 				}
 			}
+		case "limits":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Limits")
+				return
+			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Limits) >= int(zb0003) {
+				z.Limits = (z.Limits)[:zb0003]
+			} else {
+				z.Limits = make([]TargetLimit, zb0003)
+			}
+			for za0002 := range z.Limits {
+				bts, err = z.Limits[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Limits", za0002)
+					return
+				}
+			}
+		case "limitsAsOf":
+			z.LimitsAsOf, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LimitsAsOf")
+				return
+			}
 		case "packed":
 			z.Packed, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -2455,7 +2829,11 @@
 	for za0001 := range z.Deltas {
 		s += z.Deltas[za0001].Msgsize()
 	}
-	s += 7 + msgp.StringPrefixSize + len(z.Packed) + 7 + msgp.BoolSize + 8 + msgp.IntSize
+	s += 7 + msgp.ArrayHeaderSize
+	for za0002 := range z.Limits {
+		s += z.Limits[za0002].Msgsize()
+	}
+	s += 11 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Packed) + 7 + msgp.BoolSize + 8 + msgp.IntSize
 	return
 }
 
@@ -2605,9 +2983,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ReplicaFetch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 6
 	// string "counts"
-	o = append(o, 0x84, 0xa6, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
+	o = append(o, 0x86, 0xa6, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Counts)))
 	for za0001 := range z.Counts {
 		o, err = z.Counts[za0001].MarshalMsg(o)
@@ -2631,6 +3009,19 @@
 	// string "incarnation"
 	o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, z.Incarnation)
+	// string "limits"
+	o = append(o, 0xa6, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Limits)))
+	for za0003 := range z.Limits {
+		o, err = z.Limits[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Limits", za0003)
+			return
+		}
+	}
+	// string "limitsSeen"
+	o = append(o, 0xaa, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x73, 0x53, 0x65, 0x65, 0x6e)
+	o = msgp.AppendUint64(o, z.LimitsSeen)
 	// string "waitMs"
 	o = append(o, 0xa6, 0x77, 0x61, 0x69, 0x74, 0x4d, 0x73)
 	o = msgp.AppendInt(o, z.WaitMs)
@@ -2744,6 +3135,35 @@
 				err = msgp.WrapError(err, "Incarnation")
 				return
 			}
+		case "limits":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Limits")
+				return
+			}
+			if zb0005 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Limits) >= int(zb0005) {
+				z.Limits = (z.Limits)[:zb0005]
+			} else {
+				z.Limits = make([]TargetLimit, zb0005)
+			}
+			for za0003 := range z.Limits {
+				bts, err = z.Limits[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Limits", za0003)
+					return
+				}
+			}
+		case "limitsSeen":
+			z.LimitsSeen, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LimitsSeen")
+				return
+			}
 		case "waitMs":
 			z.WaitMs, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -2768,7 +3188,11 @@
 	for za0001 := range z.Counts {
 		s += z.Counts[za0001].Msgsize()
 	}
-	s += 5 + msgp.ArrayHeaderSize + (len(z.Have) * (12 + msgp.Uint64Size + msgp.BoolSize)) + 12 + msgp.Uint64Size + 7 + msgp.IntSize
+	s += 5 + msgp.ArrayHeaderSize + (len(z.Have) * (12 + msgp.Uint64Size + msgp.BoolSize)) + 12 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
+	for za0003 := range z.Limits {
+		s += z.Limits[za0003].Msgsize()
+	}
+	s += 11 + msgp.Uint64Size + 7 + msgp.IntSize
 	return
 }
 
@@ -3387,6 +3811,98 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *TargetLimit) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "incarnation"
+	o = append(o, 0x85, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendInt64(o, z.Incarnation)
+	// string "limited"
+	o = append(o, 0xa7, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Limited)
+	// string "rate"
+	o = append(o, 0xa4, 0x72, 0x61, 0x74, 0x65)
+	o = msgp.AppendFloat64(o, z.Rate)
+	// string "target"
+	o = append(o, 0xa6, 0x74, 0x61, 0x72, 0x67, 0x65, 0x74)
+	o = msgp.AppendString(o, z.Target)
+	// string "version"
+	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.Version)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TargetLimit) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "incarnation":
+			z.Incarnation, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Incarnation")
+				return
+			}
+		case "limited":
+			z.Limited, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Limited")
+				return
+			}
+		case "rate":
+			z.Rate, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rate")
+				return
+			}
+		case "target":
+			z.Target, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Target")
+				return
+			}
+		case "version":
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *TargetLimit) Msgsize() (s int) {
+	s = 1 + 12 + msgp.Int64Size + 8 + msgp.BoolSize + 5 + msgp.Float64Size + 7 + msgp.StringPrefixSize + len(z.Target) + 8 + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *VmAnswer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/pkg/message/types_gen.go
+++ b/pkg/message/types_gen.go
@@ -201,6 +201,12 @@
 	// PingRequest corresponds to the JSON schema field "pingRequest".
 	PingRequest *PingRequest `msg:"pingRequest,omitempty"`
 
+	// QuotaAsk corresponds to the JSON schema field "quotaAsk".
+	QuotaAsk *QuotaAsk `msg:"quotaAsk,omitempty"`
+
+	// QuotaReply corresponds to the JSON schema field "quotaReply".
+	QuotaReply *QuotaReply `msg:"quotaReply,omitempty"`
+
 	// ReplicaAnswer corresponds to the JSON schema field "replicaAnswer".
 	ReplicaAnswer *ReplicaAnswer `msg:"replicaAnswer,omitempty"`
 
@@ -269,11 +275,41 @@
 	Target string `msg:"target"`
 }
 
+// Asks an owner of a limit for one unit.
+type QuotaAsk struct {
+	// Asks for no unit, only whether the owner is there.
+	CheckOnly bool `msg:"checkOnly"`
+
+	// Limit corresponds to the JSON schema field "limit".
+	Limit TargetLimit `msg:"limit"`
+
+	// The sender is an owner itself.
+	Relayed bool `msg:"relayed"`
+}
+
+// Reply of an owner of a limit.
+type QuotaReply struct {
+	// The asker may send one request or load probe.
+	Granted bool `msg:"granted"`
+
+	// Limit corresponds to the JSON schema field "limit".
+	Limit TargetLimit `msg:"limit"`
+
+	// Time until there will be a unit for the asker, in milliseconds.
+	WaitMs int `msg:"waitMs"`
+}
+
 // Reply to a replica fetch.
 type ReplicaAnswer struct {
 	// Changes by kind.
 	Deltas []ReplicaDelta `msg:"deltas"`
 
+	// Limits of targets, if they changed since limitsSeen.
+	Limits []TargetLimit `msg:"limits"`
+
+	// Identifies the state of the limits.
+	LimitsAsOf uint64 `msg:"limitsAsOf"`
+
 	// Compressed reply that contains the changes; set in place of the deltas.
 	Packed string `msg:"packed"`
 
@@ -314,6 +350,12 @@
 	// Incarnation of the sender.
 	Incarnation uint64 `msg:"incarnation"`
 
+	// Limits of targets that changed since the last fetch.
+	Limits []TargetLimit `msg:"limits"`
+
+	// limitsAsOf of the last reply, 0 if there was none.
+	LimitsSeen uint64 `msg:"limitsSeen"`
+
 	// Maximum time for which the reply may be delayed until a change, in
 	// milliseconds.
 	WaitMs int `msg:"waitMs"`
@@ -406,6 +448,24 @@
 	Sequence uint64 `msg:"sequence"`
 }
 
+// Limit of a target for all nodes together, as the sender knows it.
+type TargetLimit struct {
+	// Incarnation of the target.
+	Incarnation int64 `msg:"incarnation"`
+
+	// False if the limit has ended.
+	Limited bool `msg:"limited"`
+
+	// Requests per second from all nodes together.
+	Rate float64 `msg:"rate"`
+
+	// Id of the target.
+	Target string `msg:"target"`
+
+	// Grows with each change that a node hears from the target.
+	Version uint64 `msg:"version"`
+}
+
 // Reply with the list of VMs.
 type VmAnswer struct {
 	// List of VMs, encoded as JSON.
--- /dev/null
+++ b/pkg/quota/allocator.go
@@ -0,0 +1,407 @@
+package quota
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fireflychute/fireflychute/pkg/share"
+)
+
+// MaintainInterval is the time between two calls of Maintain.
+const MaintainInterval = time.Second
+
+const (
+	// usedShare is the part of a limit that its owner grants. Each further owner takes over with
+	// half of the previous one's rate, so that all of them together stay below 2 * usedShare of
+	// the limit even if each believes the previous ones to be gone.
+	usedShare = 0.75
+	// ownerBurst is the number of units that an owner keeps while nobody asks.
+	ownerBurst = 1.5
+	// maxOwners is the number of nodes that may grant units of a limit.
+	maxOwners = 3
+	// minNodeRate is the rate per node, in units per second, from which on a limit is divided among
+	// all nodes instead of being granted by an owner: each of them then has units at any time.
+	minNodeRate = 4
+	// nodeBurst is the number of units that a node keeps of a limit that is divided among all. A
+	// request and the load probes before it take one each.
+	nodeBurst = 4
+	// askTimeout bounds the time that a request waits for all owners of a limit; relayTimeout is
+	// that of an owner that asks the ones before it.
+	askTimeout   = 120 * time.Millisecond
+	relayTimeout = 60 * time.Millisecond
+	// grantLifetime is the time after which a grant is not used any more: the process was frozen.
+	grantLifetime = 500 * time.Millisecond
+	// suspectTime is how long an owner that did not reply is not asked again.
+	suspectTime = 2 * time.Second
+	// verifyInterval is the time without a response after which an owner sends a load probe to a
+	// limited target, to notice that the limit has ended.
+	verifyInterval = maxWait
+)
+
+// Node is a member of the fleet.
+type Node struct{ Name, Address string }
+
+// Ask asks an owner for a unit of a limit, or only whether it is there.
+type Ask struct {
+	// Limit is the limit as the asker knows it.
+	Limit Limit
+	// CheckOnly asks for no unit.
+	CheckOnly bool
+	// Relayed is set if the asker is itself an owner. It is not asked in turn.
+	Relayed bool
+}
+
+// Reply is an owner's reply. Known is the limit as the owner knows it.
+type Reply struct {
+	Known Limit
+	Grant
+}
+
+// Grant is a decision on a unit.
+type Grant struct {
+	// OK allows one request or load probe.
+	OK bool
+	// Wait is the time until there will be a unit for this asker, if OK is not set.
+	Wait time.Duration
+}
+
+// Peers sends an Ask to another node.
+type Peers interface {
+	Ask(ctx context.Context, to Node, ask Ask) (Reply, error)
+}
+
+// Counts counts what became of requests for units.
+type Counts struct {
+	// Own units were taken from this node's own share, Granted ones were granted by another node.
+	Own, Granted atomic.Int64
+	// Refused units were not there; Failed counts owners that did not reply.
+	Refused, Failed atomic.Int64
+}
+
+// fleet is the list of nodes. It is replaced as a whole.
+type fleet struct {
+	names     []string
+	addresses map[string]string
+}
+
+// Allocator decides which requests a node may send to limited targets. For each target, rendezvous
+// hashing selects an owner among the nodes, which grants units to itself and to the others. It is
+// safe for concurrent use.
+type Allocator struct {
+	self  string
+	table *Table
+	peers Peers
+	fleet atomic.Pointer[fleet]
+	now   func() time.Time
+
+	mu      sync.Mutex
+	buckets map[Key]*Bucket
+	// suspects holds the time until which a node is not asked, by name.
+	suspects map[string]time.Time
+	// retryAt holds the time until which a refused target is not asked for again.
+	retryAt map[Key]time.Time
+
+	Counts Counts
+}
+
+// NewAllocator returns an allocator of the node self. It grants nothing before SetNodes.
+func NewAllocator(self string, table *Table, peers Peers) *Allocator {
+	a := &Allocator{
+		self: self, table: table, peers: peers, now: time.Now,
+		buckets: map[Key]*Bucket{}, suspects: map[string]time.Time{}, retryAt: map[Key]time.Time{},
+	}
+	a.fleet.Store(&fleet{})
+	return a
+}
+
+// SetNodes replaces the list of nodes.
+func (a *Allocator) SetNodes(nodes []Node) {
+	f := &fleet{addresses: make(map[string]string, len(nodes))}
+	for _, node := range nodes {
+		f.names = append(f.names, node.Name)
+		f.addresses[node.Name] = node.Address
+	}
+	a.fleet.Store(f)
+}
+
+// owners returns the names of the nodes that may grant units of a limit, in order.
+func (f *fleet) owners(key Key) []string {
+	return share.First(key.Target+"/"+strconv.FormatInt(key.Incarnation, 10), f.names, maxOwners)
+}
+
+// ownerRate returns the rate at which the owner of a rank grants units.
+func ownerRate(rate float64, rank int) float64 { return usedShare * rate / float64(int(1)<<rank) }
+
+// nodeRate returns each node's share of a limit. It is 0 if the node is not listed yet.
+func (a *Allocator) nodeRate(f *fleet, rate float64) float64 {
+	if _, listed := f.addresses[a.self]; !listed {
+		return 0
+	}
+	return usedShare * rate / float64(len(f.names))
+}
+
+// IsDivided reports whether a limit is so high that each node has a share of it, so that load probes
+// may be sent as well.
+func (a *Allocator) IsDivided(limit Limit) bool {
+	return a.nodeRate(a.fleet.Load(), limit.Rate) >= minNodeRate
+}
+
+// TryOwn takes a unit that this node holds itself, and reports whether it did. The target must not
+// be sent anything if it is limited and TryOwn returns false.
+func (a *Allocator) TryOwn(key Key) bool {
+	limit, limited := a.table.Get(key)
+	if !limited {
+		return true
+	}
+	rate, burst, isOwner := a.ownShare(limit)
+	if !isOwner || !a.bucket(key, rate, burst).TryTake(a.now()) {
+		return false
+	}
+	a.Counts.Own.Add(1)
+	return true
+}
+
+// ownShare returns the rate and burst of the units that this node holds itself. isOwner is false if
+// another node holds them.
+func (a *Allocator) ownShare(limit Limit) (rate, burst float64, isOwner bool) {
+	f := a.fleet.Load()
+	if divided := a.nodeRate(f, limit.Rate); divided >= minNodeRate {
+		return divided, nodeBurst, true
+	}
+	for rank, owner := range f.owners(limit.Key) {
+		if owner == a.self {
+			return ownerRate(limit.Rate, rank), ownerBurst, true
+		}
+		if !a.isSuspect(owner) {
+			return 0, 0, false
+		}
+	}
+	return 0, 0, false
+}
+
+// Acquire takes a unit of this node's own or asks the owner of the limit for one.
+func (a *Allocator) Acquire(ctx context.Context, key Key) Grant {
+	limit, limited := a.table.Get(key)
+	if !limited {
+		return Grant{OK: true}
+	}
+	askedAt := a.now()
+	if wait := a.waitOf(key, askedAt); wait > 0 {
+		return Grant{Wait: wait}
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	grant := a.decide(ctx, Ask{Limit: limit})
+	now := a.now()
+	switch {
+	case grant.OK && now.Sub(askedAt) > grantLifetime:
+		return Grant{Wait: grantLifetime}
+	case !grant.OK:
+		a.Counts.Refused.Add(1)
+		a.mu.Lock()
+		a.retryAt[key] = now.Add(grant.Wait)
+		a.mu.Unlock()
+	}
+	return grant
+}
+
+// Wait returns the time until this node may ask again for a unit of a limit.
+func (a *Allocator) Wait(key Key) time.Duration { return max(0, a.waitOf(key, a.now())) }
+
+func (a *Allocator) waitOf(key Key, now time.Time) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.retryAt[key].Sub(now)
+}
+
+// HandleAsk replies to another node.
+func (a *Allocator) HandleAsk(ctx context.Context, from string, ask Ask) Reply {
+	a.table.Merge(from, []Limit{ask.Limit}, a.now())
+	known := a.table.Known(ask.Limit.Key)
+	if ask.CheckOnly {
+		return Reply{Known: known}
+	}
+	if !known.Limited {
+		return Reply{Known: known, Grant: Grant{OK: true}}
+	}
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	return Reply{Known: known, Grant: a.decide(ctx, Ask{Limit: known, Relayed: true})}
+}
+
+// decide takes a unit from this node's own bucket, or asks the owners before it in turn. A node that
+// is no owner itself does so only for its own requests.
+func (a *Allocator) decide(ctx context.Context, ask Ask) Grant {
+	f := a.fleet.Load()
+	key := ask.Limit.Key
+	if divided := a.nodeRate(f, ask.Limit.Rate); divided >= minNodeRate && !ask.Relayed {
+		return a.takeOwn(key, divided, nodeBurst)
+	}
+	owners := f.owners(key)
+	if ask.Relayed && !slices.Contains(owners, a.self) {
+		return Grant{Wait: suspectTime}
+	}
+	for rank, owner := range owners {
+		switch {
+		case owner == a.self:
+			return a.takeOwn(key, ownerRate(ask.Limit.Rate, rank), ownerBurst)
+		case a.isSuspect(owner):
+			continue
+		}
+		grant, err := a.askOwner(ctx, Node{owner, f.addresses[owner]}, ask)
+		if err == nil {
+			return grant
+		}
+	}
+	return Grant{Wait: suspectTime}
+}
+
+func (a *Allocator) takeOwn(key Key, rate, burst float64) Grant {
+	wait, ok := a.bucket(key, rate, burst).Take(a.now())
+	if ok {
+		a.Counts.Own.Add(1)
+	}
+	return Grant{OK: ok, Wait: wait}
+}
+
+// askOwner asks one owner. An owner that does not reply is suspected.
+func (a *Allocator) askOwner(ctx context.Context, owner Node, ask Ask) (Grant, error) {
+	reply, err := a.peers.Ask(ctx, owner, ask)
+	if err != nil {
+		a.Counts.Failed.Add(1)
+		a.suspect(owner.Name)
+		return Grant{}, err
+	}
+	a.table.Merge(owner.Name, []Limit{reply.Known}, a.now())
+	if reply.OK {
+		a.Counts.Granted.Add(1)
+	}
+	return reply.Grant, nil
+}
+
+func (a *Allocator) isSuspect(node string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.now().Before(a.suspects[node])
+}
+
+func (a *Allocator) suspect(node string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.suspects[node] = a.now().Add(suspectTime)
+}
+
+// lockedBucket is a bucket that belongs to an allocator.
+type lockedBucket struct {
+	allocator *Allocator
+	*Bucket
+}
+
+// bucket returns this node's bucket of a limit with the given rate and burst. A new one is empty.
+func (a *Allocator) bucket(key Key, rate, burst float64) lockedBucket {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	bucket := a.buckets[key]
+	if bucket == nil {
+		bucket = NewBucket(rate, burst, a.now())
+		a.buckets[key] = bucket
+	}
+	bucket.SetRate(rate, burst, a.now())
+	return lockedBucket{a, bucket}
+}
+
+// Take is Bucket.Take under the allocator's lock.
+func (b lockedBucket) Take(now time.Time) (time.Duration, bool) {
+	b.allocator.mu.Lock()
+	defer b.allocator.mu.Unlock()
+	return b.Bucket.Take(now)
+}
+
+// TryTake is Bucket.TryTake under the allocator's lock.
+func (b lockedBucket) TryTake(now time.Time) bool {
+	b.allocator.mu.Lock()
+	defer b.allocator.mu.Unlock()
+	return b.Bucket.TryTake(now)
+}
+
+// Maintain checks the owners before this node, so that it takes over if they are gone, and returns
+// the targets to which this node should send a load probe: it grants their units, and they have not
+// responded to it for a while. It is called every MaintainInterval.
+func (a *Allocator) Maintain(ctx context.Context) []Key {
+	a.dropUnused()
+	limits := a.table.Limited()
+	a.checkOwners(ctx, limits)
+	unheard := a.table.UnheardSince(a.now().Add(-verifyInterval))
+	var unverified []Key
+	for _, limit := range limits {
+		if !slices.Contains(unheard, limit.Key) || !a.isGrantor(limit.Key) {
+			continue
+		}
+		// A limit near zero would hide its own end.
+		if ownerRate(limit.Rate, 0)*verifyInterval.Seconds() < 1 || a.TryOwn(limit.Key) {
+			unverified = append(unverified, limit.Key)
+		}
+	}
+	return unverified
+}
+
+// checkOwners asks the owners before this node in any of the limits whether they are there.
+func (a *Allocator) checkOwners(ctx context.Context, limits []Limit) {
+	f := a.fleet.Load()
+	earlier := map[string]Limit{}
+	for _, limit := range limits {
+		owners := f.owners(limit.Key)
+		for _, owner := range owners[:max(0, slices.Index(owners, a.self))] {
+			earlier[owner] = limit
+		}
+	}
+	var checks sync.WaitGroup
+	for owner, limit := range earlier {
+		checks.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, askTimeout)
+			defer cancel()
+			_, err := a.askOwner(ctx, Node{owner, f.addresses[owner]}, Ask{Limit: limit, CheckOnly: true, Relayed: true})
+			if err == nil {
+				a.trust(owner)
+			}
+		})
+	}
+	checks.Wait()
+}
+
+// isGrantor reports whether this node is the first owner of a limit that is not suspected.
+func (a *Allocator) isGrantor(key Key) bool {
+	for _, owner := range a.fleet.Load().owners(key) {
+		if owner == a.self {
+			return true
+		}
+		if !a.isSuspect(owner) {
+			return false
+		}
+	}
+	return false
+}
+
+func (a *Allocator) trust(node string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.suspects, node)
+}
+
+// dropUnused drops the state of targets that are not limited any more.
+func (a *Allocator) dropUnused() {
+	isUnlimited := func(key Key) bool {
+		_, limited := a.table.Get(key)
+		return !limited
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	maps.DeleteFunc(a.buckets, func(key Key, _ *Bucket) bool { return isUnlimited(key) })
+	maps.DeleteFunc(a.retryAt, func(key Key, _ time.Time) bool { return isUnlimited(key) })
+	maps.DeleteFunc(a.suspects, func(_ string, until time.Time) bool { return a.now().After(until) })
+}
--- a/pkg/quota/table_test.go
+++ b/pkg/quota/table_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -11,6 +12,8 @@
 
 func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
 
+func newTable() *Table { return NewTable(func(Change) {}) }
+
 func named(rate float64) Statement { return Statement{Kind: Named, Rate: rate} }
 
 // Guards against a response that the target sent before it named its limit, and that arrives after
@@ -34,9 +37,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			table := NewTable()
-			_, changed := table.Observe(key, named(2), at(0.5), at(1))
-			g.Expect(changed).To(BeTrue())
+			table := newTable()
+			table.Observe(key, named(2), at(0.5), at(1))
 			table.Observe(key, c.said, at(c.sent), at(1.2))
 			limit, limited := table.Get(key)
 			g.Expect(limited).To(Equal(c.wantLimited))
@@ -54,7 +56,7 @@
 func TestLimitOutlastsMissingEntry(t *testing.T) {
 	g := NewWithT(t)
 	key := Key{Target: "i-1"}
-	table := NewTable()
+	table := newTable()
 	table.Observe(key, named(2), at(0), at(0))
 	table.Sweep(map[Key]bool{}, at(20))
 	g.Expect(table.LimitedCount()).To(Equal(1))
@@ -64,3 +66,28 @@
 	table.Sweep(map[Key]bool{}, at(151))
 	g.Expect(table.IsEmpty()).To(BeTrue())
 }
+
+// Guards against a message that arrives late bringing back a limit that has changed or ended, and
+// against nodes that end up with different limits after hearing different ones at the same time.
+func TestPeersAgreeOnTheLatestLimit(t *testing.T) {
+	key := Key{Target: "i-1"}
+	limit := func(version uint64, limited bool, rate float64) Limit {
+		return Limit{Key: key, Version: version, Limited: limited, Rate: rate}
+	}
+	for name, c := range map[string]struct{ known, received, want Limit }{
+		"newer":                  {limit(1, true, 2), limit(2, false, 0), limit(2, false, 0)},
+		"older":                  {limit(2, false, 0), limit(1, true, 2), limit(2, false, 0)},
+		"same version, stricter": {limit(2, false, 0), limit(2, true, 3), limit(2, true, 3)},
+		"same version, looser":   {limit(2, true, 1), limit(2, true, 3), limit(2, true, 1)},
+		"not a number":           {limit(1, true, 2), limit(2, true, math.NaN()), limit(1, true, 2)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			table := newTable()
+			table.Merge("n1", []Limit{c.known}, start)
+			table.Merge("n2", []Limit{c.received}, start)
+			g.Expect(table.Known(key)).To(Equal(c.want))
+			g.Expect(table.Own()).To(BeEmpty())
+		})
+	}
+}
--- a/pkg/share/share.go
+++ b/pkg/share/share.go
@@ -8,20 +8,25 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// scored is a node with its score for a key.
+type scored struct {
+	score uint64
+	node  string
+}
+
+// compare orders nodes by descending score.
+func (s scored) compare(other scored) int {
+	return cmp.Or(cmp.Compare(other.score, s.score), cmp.Compare(s.node, other.node))
+}
+
 // Ranked returns the nodes in rendezvous order for a key. The first one is the owner.
 func Ranked(key string, nodes []string) []string {
-	type scored struct {
-		score uint64
-		node  string
-	}
 	keyHash := xxhash.Sum64String(key)
 	order := make([]scored, len(nodes))
 	for i, node := range nodes {
 		order[i] = scored{score(keyHash, node), node}
 	}
-	slices.SortFunc(order, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.node, b.node))
-	})
+	slices.SortFunc(order, scored.compare)
 	ranked := make([]string, len(order))
 	for i, entry := range order {
 		ranked[i] = entry.node
@@ -29,6 +34,26 @@
 	return ranked
 }
 
+// First returns the first count nodes of the rendezvous order for a key. It costs less than Ranked
+// if count is small.
+func First(key string, nodes []string, count int) []string {
+	keyHash := xxhash.Sum64String(key)
+	first := make([]scored, 0, count+1)
+	for _, node := range nodes {
+		candidate := scored{score(keyHash, node), node}
+		at, _ := slices.BinarySearchFunc(first, candidate, scored.compare)
+		if at < count {
+			first = slices.Insert(first, at, candidate)
+			first = first[:min(len(first), count)]
+		}
+	}
+	names := make([]string, len(first))
+	for i, entry := range first {
+		names[i] = entry.node
+	}
+	return names
+}
+
 // Rank returns the position of a node in the rendezvous order for a key, counted from 0. It returns
 // len(nodes) for a node that is not listed.
 func Rank(key, node string, nodes []string) int {
--- a/testbed/edge/forward_test.go
+++ b/testbed/edge/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -53,8 +54,6 @@
 
 func (r *recorder) Probed(forward.Probe) {}
 
-func (r *recorder) LimitChanged(quota.Change) {}
-
 func (r *recorder) LimitIgnored(string, quota.Statement) {}
 
 func (r *recorder) AvailabilityChanged(target string, availability forward.Availability) {
@@ -89,6 +88,13 @@
 	return slices.Clone(r.records)
 }
 
+// noPeers stands for the other nodes of a fleet of one.
+type noPeers struct{}
+
+func (noPeers) Ask(context.Context, quota.Node, quota.Ask) (quota.Reply, error) {
+	return quota.Reply{}, errors.New("no such node")
+}
+
 func newTestBalancer(t *testing.T, count int) *testBalancer {
 	b := &testBalancer{t: t, g: NewWithT(t), builder: topology.NewBuilder("n1", "dc1", nil)}
 	route := func(name string, idempotent bool, timeout time.Duration) catalog.Route {
@@ -113,9 +119,12 @@
 		b.instances = append(b.instances, started)
 		b.targets = append(b.targets, catalog.Target{ID: started.ID(), Address: started.Address(), Service: "s", Version: "v1", DataCentre: "dc1", Slots: 6})
 	}
+	limits := quota.NewTable(func(quota.Change) {})
+	units := quota.NewAllocator("n1", limits, noPeers{})
+	units.SetNodes([]quota.Node{{Name: "n1"}})
 	b.handler = forward.NewHandler(forward.Options{
 		Published: &b.published, Client: transport.NewClient(), Protocol: platform.Protocol{}, Observer: &b.records,
-		Limits:     quota.NewTable(),
+		Limits: limits, Units: units,
 		RetryRatio: 0.2, RetryExtra: 64, RetryWindow: 10 * time.Second, Random: rand.NewPCG(1, 2),
 	})
 	b.publish()
--- a/testbed/soak/limit.go
+++ b/testbed/soak/limit.go
@@ -99,3 +99,41 @@
 	}
 	return failures
 }
+
+// soakLimits are the values of the limit header in a soak, malformed ones included.
+var soakLimits = []string{"0", "0.4", "1.5", "3", "8", "40", "1000000000", "-2", "1,x", "NaN"}
+
+// Bounds of the time for which an instance names a limit in a soak.
+const (
+	minLimitTime = 4 * time.Second
+	maxLimitTime = 9 * time.Second
+)
+
+// nameLimit makes the instance that is free of other faults name a limit and then another one: a node
+// cannot keep a limit that it does not receive.
+func (s *soak) nameLimit() {
+	first, second := soakLimits[s.rng.IntN(len(soakLimits))], soakLimits[s.rng.IntN(len(soakLimits))]
+	duration := minLimitTime + time.Duration(s.rng.Int64N(int64(maxLimitTime-minLimitTime)))
+	if !s.isLimited.CompareAndSwap(false, true) {
+		return
+	}
+	i := s.cluster.instances[initialInstances-1]
+	s.logFault("%s names a limit of %s and then %s, each for %v", i.ID(), first, second, duration)
+	s.pending.Go(func() {
+		for _, limit := range []string{first, second} {
+			i.NameLimit(limit)
+			time.Sleep(duration)
+		}
+		i.NameLimit("")
+		s.isLimited.Store(false)
+	})
+}
+
+// checkLimits checks that no instance received more than it had named.
+func (s *soak) checkLimits() {
+	for _, i := range s.cluster.instances {
+		for _, failure := range checkLimit(i) {
+			s.load.addFailure("%s", failure)
+		}
+	}
+}
--- a/testbed/soak/limit_test.go
+++ b/testbed/soak/limit_test.go
@@ -167,6 +167,7 @@
 			l.expectLimitsKept()
 			rate, _ := strconv.ParseFloat(limit, 64)
 			used := l.arrivalsSince(0, time.Now().Add(-limitWindow))
+			t.Logf("limit %s: %d requests and load probes in the last %v", limit, used, limitWindow)
 			l.Expect(float64(used)).To(BeNumerically(">=", rate*limitWindow.Seconds()/3), "a limited instance is still used")
 			l.Expect(l.answersSince(time.Now().Add(-limitWindow))).To(HaveLen(1), "the other instances have room for all requests")
 		})
@@ -277,6 +278,7 @@
 	answers := l.answersSince(from)
 	served, rejected := answers[http.StatusOK], answers[http.StatusServiceUnavailable]
 	allowed := limit * limitTestInstances * time.Since(from).Seconds()
+	l.t.Logf("limits of %v in all: %.1f served and %.1f rejected per second", limit*limitTestInstances, float64(len(served))/time.Since(from).Seconds(), float64(len(rejected))/time.Since(from).Seconds())
 	l.Expect(float64(len(served))).To(BeNumerically(">=", allowed/2), "half of what the instances accept is used")
 	l.Expect(rejected).NotTo(BeEmpty())
 	slow, withoutTime := 0, 0
--- a/testbed/soak/soak.go
+++ b/testbed/soak/soak.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -57,6 +58,8 @@
 	// leaving.
 	leavingReportedAt map[int]time.Time
 	rollout           rollout
+	// isLimited is set while an instance names a limit.
+	isLimited atomic.Bool
 }
 
 // Run runs a soak with one seed. An error means that the cluster did not start.
@@ -119,6 +122,7 @@
 	s.pending.Wait()
 	s.checkRecovery()
 	s.rollout.check(s)
+	s.checkLimits()
 	s.checkLeavingInstances()
 	cancel()
 	running.Wait()
@@ -133,7 +137,7 @@
 func (s *soak) inject() {
 	n := s.cluster.nodes[s.rng.IntN(len(s.cluster.nodes))]
 	duration := 300*time.Millisecond + time.Duration(s.rng.Int64N(int64(3*time.Second)))
-	switch s.rng.IntN(13) {
+	switch s.rng.IntN(14) {
 	case 0:
 		s.restart(n, syscall.SIGTERM, drainTimeout)
 	case 1:
@@ -161,6 +165,8 @@
 		s.injectInstancePathFault(PathFault(1+s.rng.IntN(4)), duration)
 	case 12:
 		s.rollout.start(s)
+	case 13:
+		s.nameLimit()
 	}
 }
 
