--- a/testbed/soak/cluster.go
+++ b/testbed/soak/cluster.go
@@ -22,6 +22,9 @@
 	initialNodes     = 4
 	initialInstances = 5
 
+	// warmupRate is the number of requests per second that a cold instance tolerates.
+	warmupRate = 10.0
+
 	responseBody = "soak answer"
 	drainTimeout = 3 * time.Second
 )
@@ -139,7 +142,7 @@
 	}
 	c.store.Put("config", "main", map[string]any{
 		"version":  fmt.Sprintf("%08x", c.version),
-		"services": []any{map[string]any{"name": "s", "health-path": "/health", "max-conns": 260, "warmup-s": 1, "warmup-per-s": 10}},
+		"services": []any{map[string]any{"name": "s", "health-path": "/health", "max-conns": 260, "warmup-s": 1, "warmup-per-s": warmupRate}},
 		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-s": 3, "idle-timeout-s": 15},
 		"vhosts": []any{map[string]any{"host": "h.example", "paths": []any{
 			path("safe", "safe"), path("unsafe", "unsafe"), path(versionPrefix(c.version), "safe"), path(versionPrefix(c.version-1), "safe"),
--- a/testbed/soak/limit_test.go
+++ b/testbed/soak/limit_test.go
@@ -67,8 +67,13 @@
 }
 
 func newLimitTest(t *testing.T) *limitTest {
+	return newLoadedCluster(t, size{nodes: limitTestNodes, instances: limitTestInstances}, callInterval)
+}
+
+// newLoadedCluster starts a cluster whose nodes get a request per interval each.
+func newLoadedCluster(t *testing.T, size size, interval time.Duration) *limitTest {
 	t.Parallel()
-	w, err := newCluster(t.TempDir(), binary, size{nodes: limitTestNodes, instances: limitTestInstances})
+	w, err := newCluster(t.TempDir(), binary, size)
 	l := &limitTest{WithT: NewWithT(t), t: t, cluster: w}
 	l.Expect(err).NotTo(HaveOccurred())
 	l.load = newLoadGenerator(w)
@@ -82,7 +87,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l.stop = cancel
 	for i, n := range w.nodes {
-		l.running.Go(func() { l.callEvery(ctx, n, i%2 == 0) })
+		l.running.Go(func() { l.callEvery(ctx, n, interval, i%2 == 0) })
 	}
 	t.Cleanup(func() {
 		cancel()
@@ -93,13 +98,13 @@
 }
 
 // callEvery sends requests to a node at a fixed rate, however long they take.
-func (l *limitTest) callEvery(ctx context.Context, n *node, isUnsafe bool) {
+func (l *limitTest) callEvery(ctx context.Context, n *node, interval time.Duration, isUnsafe bool) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 50, DisableCompression: true}}
 	method, path := http.MethodGet, "/safe/x"
 	if isUnsafe {
 		method, path = http.MethodPost, "/unsafe/x"
 	}
-	ticker := time.NewTicker(callInterval)
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
