Grant the warm-up rate of a cold target from one owner

Callers of a cold target could bring it down: each node kept its turn of the warm-up rate while other targets had room, and all turns were used in the second in which these were gone.

The owner of the target grants each request now, as for limits that targets name. The per-node limiter and its package are gone. TestWarmupLimitsOnlyColdTargets tested the limiter inside topology.Observed, which holds only the time now, and is replaced by TestTargetIsColdForTheReportedTime.

--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -51,8 +51,8 @@
 func (c *controller) maintainLimits(ctx context.Context, verify func([]quota.Key)) {
 	for ctx.Err() == nil {
 		wait.For(ctx, quota.MaintainInterval)
-		if !c.limits.IsEmpty() {
-			verify(c.units.Maintain(ctx))
+		if unverified := c.units.Maintain(ctx); len(unverified) > 0 {
+			verify(unverified)
 		}
 	}
 }
@@ -119,13 +119,14 @@
 
 func encodeLimit(limit quota.Limit) message.TargetLimit {
 	return message.TargetLimit{
-		Target: limit.Target, Incarnation: limit.Incarnation, Limited: limit.Limited, Rate: limit.Rate, Version: limit.Version,
+		Target: limit.Target, Incarnation: limit.Incarnation, Warmup: limit.Warmup, Limited: limit.Limited, Rate: limit.Rate,
+		Version: limit.Version,
 	}
 }
 
 func decodeLimit(encoded *message.TargetLimit) quota.Limit {
 	return quota.Limit{
-		Key: quota.Key{Target: encoded.Target, Incarnation: encoded.Incarnation}, Limited: encoded.Limited,
+		Key: quota.Key{Target: encoded.Target, Incarnation: encoded.Incarnation, Warmup: encoded.Warmup}, Limited: encoded.Limited,
 		Rate: encoded.Rate, Version: encoded.Version,
 	}
 }
--- a/pkg/forward/limited.go
+++ b/pkg/forward/limited.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/fireflychute/fireflychute/pkg/placement"
+	"github.com/fireflychute/fireflychute/pkg/quota"
 	"github.com/fireflychute/fireflychute/pkg/topology"
-	"github.com/fireflychute/fireflychute/pkg/warmup"
 )
 
 // limitedTargets returns the targets of a pool that may serve the request and that name a limit too
@@ -35,7 +35,7 @@
 		return false
 	}
 	view := target.Observed.View(now)
-	return !view.Leaving && !view.Ejected && view.BackOff == 0 && view.Pending < max(1, target.Slots) && target.Observed.CanAcquire(now)
+	return !view.Leaving && !view.Ejected && view.BackOff == 0 && view.Pending < max(1, target.Slots) && !c.awaitsWarmup(target, view)
 }
 
 // claimOwn claims a unit that this node holds itself of the limit of a target that does not fail. It
@@ -66,9 +66,23 @@
 	return nil, shortest
 }
 
-// claimWarmup claims a slot of the target's warm-up limit if the target is cold.
+// claimWarmup reports whether the request may be sent to a target now, and claims a unit of the rate
+// that all nodes together may send to it if it is cold.
 func (c *call) claimWarmup(target *topology.Target) bool {
-	return target.Observed.Acquire(time.Now(), warmup.Interval(c.service.WarmupRate, c.topology.FleetSize))
+	now := time.Now()
+	if !target.Observed.Accepts(now) {
+		return false
+	}
+	return !target.Observed.View(now).Cold || c.handler.options.Units.AcquireOf(c.ctx, c.warmupLimit(target)).OK
+}
+
+// awaitsWarmup reports whether the target is cold and this node may not send to it yet.
+func (c *call) awaitsWarmup(target *topology.Target, view topology.View) bool {
+	return view.Cold && c.handler.options.Units.Wait(c.warmupLimit(target).Key) > 0
+}
+
+func (c *call) warmupLimit(target *topology.Target) quota.Limit {
+	return quota.WarmupLimit(target.ID, target.Incarnation, c.service.WarmupRate)
 }
 
 // unprobed returns a limited target as a selection. It counts as idle, since it gets little.
--- a/pkg/forward/probe.go
+++ b/pkg/forward/probe.go
@@ -13,7 +13,6 @@
 	"github.com/fireflychute/fireflychute/pkg/quota"
 	"github.com/fireflychute/fireflychute/pkg/topology"
 	"github.com/fireflychute/fireflychute/pkg/transport"
-	"github.com/fireflychute/fireflychute/pkg/warmup"
 )
 
 const (
@@ -55,7 +54,7 @@
 	results := make(chan probeResult, len(targets))
 	for _, target := range targets {
 		go func() {
-			results <- c.handler.probe(c.service.HealthPath, c.service.WarmupRate, c.topology.FleetSize, target)
+			results <- c.handler.probe(c.service.HealthPath, target)
 		}()
 	}
 	var collected []probeResult
@@ -83,16 +82,16 @@
 // probe asks one target for its load and updates what this node observed of the target. It
 // continues after the request was sent elsewhere, since a failed probe is relevant to later
 // requests.
-func (h *Handler) probe(path string, warmupRate float64, fleet int, target *topology.Target) probeResult {
+func (h *Handler) probe(path string, target *topology.Target) probeResult {
 	_, limited := h.options.Limits.Get(keyOf(target))
 	if limited && !h.options.Units.TryOwn(keyOf(target)) {
 		return probeResult{target: target}
 	}
-	return h.sendProbe(path, warmupRate, fleet, target, limited)
+	return h.sendProbe(path, target, limited)
 }
 
 // sendProbe sends a load probe. A unit of the target's limit was taken for it if there is one.
-func (h *Handler) sendProbe(path string, warmupRate float64, fleet int, target *topology.Target, limited bool) probeResult {
+func (h *Handler) sendProbe(path string, target *topology.Target, limited bool) probeResult {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	sentAt := time.Now()
@@ -112,8 +111,7 @@
 	}
 	h.applyAvailability(target, report.Availability)
 	h.applyLimit(target, report.Limit, sentAt)
-	interval := warmup.Interval(warmupRate, fleet)
-	target.Observed.SetWarmup(now, report.WarmupLeft, interval, withRandom(h, randomFraction))
+	target.Observed.SetWarmup(now, report.WarmupLeft)
 	target.Observed.RecordReachable()
 	view := target.Observed.View(now)
 	if h.isDisabled(experiment.FailureMemory) {
@@ -189,7 +187,7 @@
 	for _, service := range current.Services {
 		for _, target := range slices.Concat(service.Main.All(), service.Canary.All()) {
 			if slices.Contains(keys, keyOf(target)) {
-				go h.sendProbe(service.HealthPath, service.WarmupRate, current.FleetSize, target, true)
+				go h.sendProbe(service.HealthPath, target, true)
 			}
 		}
 	}
--- a/pkg/forward/sample.go
+++ b/pkg/forward/sample.go
@@ -159,7 +159,7 @@
 	switch {
 	case !s.call.mayProbe(target):
 		return targetUnusable
-	case view.Leaving || view.BackOff > 0 || !target.Observed.CanAcquire(s.now):
+	case view.Leaving || view.BackOff > 0 || s.call.awaitsWarmup(target, view):
 		return targetUnusable
 	case view.Ejected:
 		return targetUnresponsive
--- a/pkg/forward/select.go
+++ b/pkg/forward/select.go
@@ -6,7 +6,6 @@
 	"github.com/fireflychute/fireflychute/pkg/experiment"
 	"github.com/fireflychute/fireflychute/pkg/placement"
 	"github.com/fireflychute/fireflychute/pkg/topology"
-	"github.com/fireflychute/fireflychute/pkg/warmup"
 )
 
 // selectedTarget is the target selected for an attempt.
@@ -119,18 +118,17 @@
 	}
 }
 
-// claimBest returns the best target of those that responded, and claims a slot of its warm-up
+// claimBest returns the best target of those that responded, and claims a unit of its warm-up
 // rate if it is cold. Targets that report themselves as unhealthy are used only if no other has
 // free capacity.
 func (c *call) claimBest(results []probeResult) (*selectedTarget, string) {
 	if len(results) == 0 {
 		return nil, ReasonNoProbeResult
 	}
-	interval := warmup.Interval(c.service.WarmupRate, c.topology.FleetSize)
 	for _, healthy := range []bool{true, false} {
 		best := c.bestCandidate(results, healthy)
 		for best != nil {
-			if c.handler.options.Units.TryOwn(keyOf(best.target)) && best.target.Observed.Acquire(time.Now(), interval) {
+			if c.handler.options.Units.TryOwn(keyOf(best.target)) && c.claimWarmup(best.target) {
 				return best, ""
 			}
 			results = excludeTarget(results, best.target)
--- a/pkg/message/codec_gen.go
+++ b/pkg/message/codec_gen.go
@@ -3814,9 +3814,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *TargetLimit) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "incarnation"
-	o = append(o, 0x85, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = append(o, 0x86, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendInt64(o, z.Incarnation)
 	// string "limited"
 	o = append(o, 0xa7, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x65, 0x64)
@@ -3830,6 +3830,9 @@
 	// string "version"
 	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, z.Version)
+	// string "warmup"
+	o = append(o, 0xa6, 0x77, 0x61, 0x72, 0x6d, 0x75, 0x70)
+	o = msgp.AppendBool(o, z.Warmup)
 	return
 }
 
@@ -3885,6 +3888,12 @@
 				err = msgp.WrapError(err, "Version")
 				return
 			}
+		case "warmup":
+			z.Warmup, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Warmup")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3899,7 +3908,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *TargetLimit) Msgsize() (s int) {
-	s = 1 + 12 + msgp.Int64Size + 8 + msgp.BoolSize + 5 + msgp.Float64Size + 7 + msgp.StringPrefixSize + len(z.Target) + 8 + msgp.Uint64Size
+	s = 1 + 12 + msgp.Int64Size + 8 + msgp.BoolSize + 5 + msgp.Float64Size + 7 + msgp.StringPrefixSize + len(z.Target) + 8 + msgp.Uint64Size + 7 + msgp.BoolSize
 	return
 }
 
--- a/pkg/message/types_gen.go
+++ b/pkg/message/types_gen.go
@@ -464,6 +464,9 @@
 
 	// Grows with each change that a node hears from the target.
 	Version uint64 `msg:"version"`
+
+	// The rate that the target tolerates while it is cold.
+	Warmup bool `msg:"warmup"`
 }
 
 // Reply with the list of VMs.
--- a/pkg/quota/allocator.go
+++ b/pkg/quota/allocator.go
@@ -38,6 +38,8 @@
 	grantLifetime = 500 * time.Millisecond
 	// suspectTime is how long an owner that did not reply is not asked again.
 	suspectTime = 2 * time.Second
+	// bucketRetention is how long an unused bucket is kept.
+	bucketRetention = time.Minute
 	// verifyInterval is the time without a response after which an owner sends a load probe to a
 	// limited target, to notice that the limit has ended.
 	verifyInterval = maxWait
@@ -134,6 +136,11 @@
 	return share.First(key.Target+"/"+strconv.FormatInt(key.Incarnation, 10), f.names, maxOwners)
 }
 
+// WarmupLimit returns the limit of a cold target that tolerates a rate of requests per second.
+func WarmupLimit(target string, incarnation int64, rate float64) Limit {
+	return Limit{Key: Key{Target: target, Incarnation: incarnation, Warmup: true}, Limited: true, Rate: rate}
+}
+
 // ownerRate returns the rate at which the owner of a rank grants units.
 func ownerRate(rate float64, rank int) float64 { return usedShare * rate / float64(int(1)<<rank) }
 
@@ -184,12 +191,18 @@
 	return 0, 0, false
 }
 
-// Acquire takes a unit of this node's own or asks the owner of the limit for one.
+// Acquire takes a unit of the limit that a target has named.
 func (a *Allocator) Acquire(ctx context.Context, key Key) Grant {
 	limit, limited := a.table.Get(key)
 	if !limited {
 		return Grant{OK: true}
 	}
+	return a.AcquireOf(ctx, limit)
+}
+
+// AcquireOf takes a unit of this node's own or asks the owner of the limit for one.
+func (a *Allocator) AcquireOf(ctx context.Context, limit Limit) Grant {
+	key := limit.Key
 	askedAt := a.now()
 	if wait := a.waitOf(key, askedAt); wait > 0 {
 		return Grant{Wait: wait}
@@ -221,8 +234,11 @@
 
 // HandleAsk replies to another node.
 func (a *Allocator) HandleAsk(ctx context.Context, from string, ask Ask) Reply {
-	a.table.Merge(from, []Limit{ask.Limit}, a.now())
-	known := a.table.Known(ask.Limit.Key)
+	known := ask.Limit
+	if !known.Warmup {
+		a.table.Merge(from, []Limit{ask.Limit}, a.now())
+		known = a.table.Known(ask.Limit.Key)
+	}
 	if ask.CheckOnly {
 		return Reply{Known: known}
 	}
@@ -277,7 +293,9 @@
 		a.suspect(owner.Name)
 		return Grant{}, err
 	}
-	a.table.Merge(owner.Name, []Limit{reply.Known}, a.now())
+	if !reply.Known.Warmup {
+		a.table.Merge(owner.Name, []Limit{reply.Known}, a.now())
+	}
 	if reply.OK {
 		a.Counts.Granted.Add(1)
 	}
@@ -393,15 +411,12 @@
 	delete(a.suspects, node)
 }
 
-// dropUnused drops the state of targets that are not limited any more.
+// dropUnused drops buckets that nobody has used for bucketRetention, and what has expired.
 func (a *Allocator) dropUnused() {
-	isUnlimited := func(key Key) bool {
-		_, limited := a.table.Get(key)
-		return !limited
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	maps.DeleteFunc(a.buckets, func(key Key, _ *Bucket) bool { return isUnlimited(key) })
-	maps.DeleteFunc(a.retryAt, func(key Key, _ time.Time) bool { return isUnlimited(key) })
-	maps.DeleteFunc(a.suspects, func(_ string, until time.Time) bool { return a.now().After(until) })
+	now := a.now()
+	maps.DeleteFunc(a.buckets, func(_ Key, bucket *Bucket) bool { return now.Sub(bucket.updatedAt) > bucketRetention })
+	maps.DeleteFunc(a.retryAt, func(_ Key, until time.Time) bool { return now.After(until) })
+	maps.DeleteFunc(a.suspects, func(_ string, until time.Time) bool { return now.After(until) })
 }
--- a/pkg/quota/designs_test.go
+++ b/pkg/quota/designs_test.go
@@ -7,8 +7,6 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-
-	"github.com/fireflychute/fireflychute/pkg/warmup"
 )
 
 // design is one way to keep a limit over all nodes. ask reports whether a node may send.
@@ -21,7 +19,7 @@
 
 func (d *localLimits) ask(now time.Time, node int) bool { return d.buckets[node].TryTake(now) }
 
-// equalShares gives each node a turn per interval, from a random phase, as cold targets are shared. A
+// equalShares gives each node a turn per interval, from a random phase. A
 // node keeps an unused turn for lapse, 0 for ever.
 type equalShares struct {
 	interval, lapse time.Duration
@@ -45,7 +43,7 @@
 }
 
 func newEqualShares(nodes int, rate float64, lapse time.Duration, random *rand.Rand) *equalShares {
-	d := &equalShares{interval: warmup.Interval(rate, nodes), lapse: lapse}
+	d := &equalShares{interval: time.Duration(float64(nodes) / rate * float64(time.Second)), lapse: lapse}
 	for range nodes {
 		d.next = append(d.next, start.Add(time.Duration(random.Float64()*float64(d.interval))))
 	}
--- a/pkg/quota/table.go
+++ b/pkg/quota/table.go
@@ -12,6 +12,9 @@
 type Key struct {
 	Target      string
 	Incarnation int64
+	// Warmup is set for the rate that the target tolerates while it is cold. It is configured, so
+	// it is in no Table.
+	Warmup bool
 }
 
 // Limit is the limit of a target as far as a node knows it.
--- a/pkg/topology/observed.go
+++ b/pkg/topology/observed.go
@@ -3,8 +3,6 @@
 import (
 	"sync"
 	"time"
-
-	"github.com/fireflychute/fireflychute/pkg/warmup"
 )
 
 const (
@@ -32,7 +30,6 @@
 	// backOffUntil is the end of the time for which the target asked this node to send nothing.
 	backOffUntil  time.Time
 	coldUntil     time.Time
-	limiter       warmup.Limiter
 	failureRate   float64
 	failureRateAt time.Time
 }
@@ -136,34 +133,21 @@
 	return wasInUse
 }
 
-// SetWarmup records the remaining warm-up time that the target reported; 0 means warm. interval and
-// phase space the requests of this node as in warmup.Limiter.
-func (o *Observed) SetWarmup(now time.Time, left, interval time.Duration, phase float64) {
+// SetWarmup records the remaining warm-up time that the target reported; 0 means warm.
+func (o *Observed) SetWarmup(now time.Time, left time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if left < minWarmupLeft {
 		o.coldUntil = time.Time{}
-		o.limiter.Stop()
 		return
 	}
 	o.coldUntil = now.Add(left)
-	o.limiter.Start(now, interval, phase)
-}
-
-// CanAcquire reports whether the warm-up limit allows a request now.
-func (o *Observed) CanAcquire(now time.Time) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return !now.Before(o.coldUntil) || o.limiter.Ready(now)
 }
 
-// Acquire reports whether a request may be sent now. For a cold target it consumes a slot of the
-// warm-up limit; a warm target has no such limit.
-func (o *Observed) Acquire(now time.Time, interval time.Duration) bool {
+// Accepts reports whether a request may be sent now, as far as the target is not leaving and has not
+// asked this node to send nothing.
+func (o *Observed) Accepts(now time.Time) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.leaving || now.Before(o.backOffUntil) {
-		return false
-	}
-	return !now.Before(o.coldUntil) || o.limiter.Acquire(now, interval)
+	return !o.leaving && !now.Before(o.backOffUntil)
 }
--- a/pkg/topology/observed_test.go
+++ b/pkg/topology/observed_test.go
@@ -39,18 +39,17 @@
 	g.Expect(o.View(start).Pending).To(BeZero())
 }
 
-// Guards against sending a cold target more requests than its warm-up limit allows, and against
-// limiting a warm one.
-func TestWarmupLimitsOnlyColdTargets(t *testing.T) {
+// Guards against a target that stays cold after it reported to be warm, or counts as warm before its
+// warm-up time is over.
+func TestTargetIsColdForTheReportedTime(t *testing.T) {
 	g := NewWithT(t)
 	o := &Observed{}
-	g.Expect(o.Acquire(start, time.Second)).To(BeTrue())
-	o.SetWarmup(start, 3*time.Second, time.Second, 0.5)
-	g.Expect(o.CanAcquire(start)).To(BeFalse())
-	g.Expect(o.Acquire(start.Add(500*time.Millisecond), time.Second)).To(BeTrue())
-	g.Expect(o.Acquire(start.Add(600*time.Millisecond), time.Second)).To(BeFalse())
-	o.SetWarmup(start.Add(time.Second), 0, time.Second, 0)
-	g.Expect(o.Acquire(start.Add(time.Second), time.Second)).To(BeTrue())
+	g.Expect(o.View(start).Cold).To(BeFalse())
+	o.SetWarmup(start, 3*time.Second)
+	g.Expect(o.View(start.Add(3*time.Second - 1)).Cold).To(BeTrue())
+	g.Expect(o.View(start.Add(3 * time.Second)).Cold).To(BeFalse())
+	o.SetWarmup(start.Add(time.Second), 0)
+	g.Expect(o.View(start.Add(time.Second)).Cold).To(BeFalse())
 }
 
 // Guards against requests to a target that asked for none: neither a shorter back-off that is
@@ -58,15 +57,15 @@
 func TestBackOffAndLeavingPreventRequests(t *testing.T) {
 	g := NewWithT(t)
 	o := &Observed{}
-	g.Expect(o.Acquire(start, time.Second)).To(BeTrue())
+	g.Expect(o.Accepts(start)).To(BeTrue())
 	g.Expect(o.BackOff(start, 4*time.Second)).To(BeTrue())
 	g.Expect(o.BackOff(start.Add(time.Second), time.Second)).To(BeFalse())
 	o.RecordReachable()
 	for at, acquired := range map[time.Duration]bool{0: false, 3 * time.Second: false, 4 * time.Second: true} {
-		g.Expect(o.Acquire(start.Add(at), time.Second)).To(Equal(acquired), at.String())
+		g.Expect(o.Accepts(start.Add(at))).To(Equal(acquired), at.String())
 		g.Expect(o.View(start.Add(at)).BackOff).To(Equal(4*time.Second - at))
 	}
 	g.Expect(o.MarkLeaving()).To(BeTrue())
 	g.Expect(o.MarkLeaving()).To(BeFalse())
-	g.Expect(o.Acquire(start.Add(time.Hour), time.Second)).To(BeFalse())
+	g.Expect(o.Accepts(start.Add(time.Hour))).To(BeFalse())
 }
