Do not take an owner for gone when the caller of a request leaves

An ask ended with the request it was made for, and an owner that had not replied by then was suspected for two seconds: callers that leave early made nodes fall back to the next owner, at half the rate. An ask runs to its own timeout now.

An owner whose table is full granted everything for a limit that it could not hold; it goes by what the asker knows now. Both tests failed before.

--- a/pkg/quota/allocator.go
+++ b/pkg/quota/allocator.go
@@ -207,7 +207,8 @@
 	if wait := a.waitOf(key, askedAt); wait > 0 {
 		return Grant{Wait: wait}
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	// An ask that ended with its request would make the owner look as if it did not reply.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
 	defer cancel()
 	grant := a.decide(ctx, Ask{Limit: limit})
 	now := a.now()
@@ -237,7 +238,9 @@
 	known := ask.Limit
 	if !known.Warmup {
 		a.table.Merge(from, []Limit{ask.Limit}, a.now())
-		known = a.table.Known(ask.Limit.Key)
+	}
+	if own := a.table.Known(known.Key); own.Version > known.Version {
+		known = own
 	}
 	if ask.CheckOnly {
 		return Reply{Known: known}
