Tell callers when a cold target takes requests again

With only cold targets left a request was rejected with a Retry-After that knew nothing of the warm-up rate, 0.1 to 0.6 s, and was rejected again. It is the time until the owner has a unit for this node now. TestRejectionTellsWhenAColdInstanceHasRoom failed before.

A request for a canary without room also uses a limited target of the version in use.

--- a/pkg/forward/limited.go
+++ b/pkg/forward/limited.go
@@ -35,7 +35,7 @@
 		return false
 	}
 	view := target.Observed.View(now)
-	return !view.Leaving && !view.Ejected && view.BackOff == 0 && view.Pending < max(1, target.Slots) && !c.awaitsWarmup(target, view)
+	return !view.Leaving && !view.Ejected && view.BackOff == 0 && view.Pending < max(1, target.Slots) && c.warmupWait(target, view) == 0
 }
 
 // claimOwn claims a unit that this node holds itself of the limit of a target that does not fail. It
@@ -76,9 +76,12 @@
 	return !target.Observed.View(now).Cold || c.handler.options.Units.AcquireOf(c.ctx, c.warmupLimit(target)).OK
 }
 
-// awaitsWarmup reports whether the target is cold and this node may not send to it yet.
-func (c *call) awaitsWarmup(target *topology.Target, view topology.View) bool {
-	return view.Cold && c.handler.options.Units.Wait(c.warmupLimit(target).Key) > 0
+// warmupWait returns the time until this node may send to a target that is cold, 0 for a warm one.
+func (c *call) warmupWait(target *topology.Target, view topology.View) time.Duration {
+	if !view.Cold {
+		return 0
+	}
+	return c.handler.options.Units.Wait(c.warmupLimit(target).Key)
 }
 
 func (c *call) warmupLimit(target *topology.Target) quota.Limit {
@@ -99,10 +102,8 @@
 // limitedReason returns why there is no target, given the reason why there is none without a limit
 // and the time until the first limited target has a unit, 0 if there is no limited target.
 func (c *call) limitedReason(reason string, wait time.Duration) string {
-	if wait == 0 || reason != ReasonNoTarget && reason != ReasonBackingOff {
-		return reason
-	}
-	if reason == ReasonBackingOff && c.backOff <= wait {
+	isWorthRetrying := reason == ReasonNoTarget || reason == ReasonBackingOff || reason == ReasonLimited
+	if wait == 0 || !isWorthRetrying || c.backOff > 0 && c.backOff <= wait {
 		return reason
 	}
 	c.backOff = wait
--- a/pkg/forward/sample.go
+++ b/pkg/forward/sample.go
@@ -159,7 +159,7 @@
 	switch {
 	case !s.call.mayProbe(target):
 		return targetUnusable
-	case view.Leaving || view.BackOff > 0 || s.call.awaitsWarmup(target, view):
+	case view.Leaving || view.BackOff > 0 || s.call.warmupWait(target, view) > 0:
 		return targetUnusable
 	case view.Ejected:
 		return targetUnresponsive
--- a/pkg/forward/select.go
+++ b/pkg/forward/select.go
@@ -36,6 +36,10 @@
 		return selected, reason
 	}
 	selected, wait := c.claimGranted(limited)
+	if selected == nil && canary {
+		canary = false
+		selected, wait = c.claimGranted(c.limitedTargets(&c.service.Main))
+	}
 	if selected != nil {
 		selected.canary = canary
 		return selected, ""
@@ -85,23 +89,25 @@
 }
 
 // noTargetReason returns why no target of a pool may be probed. It sets backOff to the time until
-// the first of the targets that are backing off accepts requests again.
+// the first of the targets that are backing off, or of the cold ones, accepts requests again.
 func (c *call) noTargetReason(pool *topology.Pool) string {
 	c.backOff = 0
+	reason := ReasonNoTarget
 	now := time.Now()
 	for _, target := range pool.All() {
 		view := target.Observed.View(now)
-		if view.Leaving || view.BackOff == 0 || !c.route.Allows(target) || c.wasAttempted(target) {
+		if view.Leaving || !c.route.Allows(target) || c.wasAttempted(target) {
 			continue
 		}
-		if c.backOff == 0 || view.BackOff < c.backOff {
-			c.backOff = view.BackOff
+		wait, cause := view.BackOff, ReasonBackingOff
+		if warmup := c.warmupWait(target, view); warmup > wait {
+			wait, cause = warmup, ReasonLimited
+		}
+		if wait > 0 && (c.backOff == 0 || wait < c.backOff) {
+			c.backOff, reason = wait, cause
 		}
 	}
-	if c.backOff == 0 {
-		return ReasonNoTarget
-	}
-	return ReasonBackingOff
+	return reason
 }
 
 // hasGoodCandidate reports whether a candidate is good enough to skip further rounds of probes.
--- a/testbed/edge/limit_test.go
+++ b/testbed/edge/limit_test.go
@@ -81,6 +81,24 @@
 	b.g.Expect(b.records.lastRecord().Reason).To(Equal("limits of all targets are used up"))
 }
 
+// Guards against a caller that is sent back before a cold instance, the only one, takes a request
+// again.
+func TestRejectionTellsWhenAColdInstanceHasRoom(t *testing.T) {
+	b := newTestBalancer(t, 1)
+	b.instances[0].SetCold(time.Minute)
+	var last http.Header
+	for range 8 {
+		var status int
+		status, _, last = b.call(http.MethodGet, "/short/x", "")
+		if status == http.StatusOK {
+			last = nil
+		}
+	}
+	seconds, err := strconv.ParseFloat(last.Get("Retry-After"), 64)
+	b.g.Expect(err).NotTo(HaveOccurred())
+	b.g.Expect(seconds).To(BeNumerically(">", 0.7), "it tolerates one request per second")
+}
+
 // Guards against a limit that outlives the incarnation of the instance that named it.
 func TestLimitEndsWithIncarnation(t *testing.T) {
 	b := newTestBalancer(t, 1)
