Split the allocator of units, size the soak, test that limits reach all nodes

The allocator's buckets are used under one lock, the fleet and the upkeep have files of their own, and a unit that an owner grants to another node is no longer counted as its own as well. Owners do not probe targets that are leaving or asked for a backoff.

The soak takes the numbers of nodes and instances; its load is the same in total. A test shows that a node which never heard a limit itself keeps it.

--- a/Makefile
+++ b/Makefile
@@ -49,8 +49,10 @@
 SEEDS ?= 3
 SECONDS ?= 8
 PARALLEL ?= 2
+NODES ?= 4
+INSTANCES ?= 5
 soak: build
-	bin/soak --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) --parallel $(PARALLEL)
+	bin/soak --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) --parallel $(PARALLEL) --nodes $(NODES) --instances $(INSTANCES)
 
 # Renders docs/FAULTS.md from a run of all tests; the cells of a failed test are shown in red.
 faults-page: build
--- a/pkg/edge/process.go
+++ b/pkg/edge/process.go
@@ -76,7 +76,7 @@
 	client    *transport.Client
 	limits    *quota.Table
 	units     *quota.Allocator
-	quota     quotaPeers
+	owners    quotaPeers
 	draining  atomic.Bool
 	meter     *meter
 }
@@ -117,8 +117,8 @@
 	p.client = transport.NewClientWith(transport.Options{IdleTimeout: idleConnTimeout, UserTimeout: targetAckTimeout})
 	requests := newRequestLog(options.Log)
 	p.limits = quota.NewTable(requests.LimitChanged)
-	p.quota = quotaPeers{peer.NewClient(settings.Node, nil)}
-	p.units = quota.NewAllocator(settings.Node, p.limits, p.quota)
+	p.owners = quotaPeers{peer.NewClient(settings.Node, nil)}
+	p.units = quota.NewAllocator(settings.Node, p.limits, p.owners)
 	p.control = newController(options, &p.published, p.client, p.limits, p.units)
 	p.handler = forward.NewHandler(forward.Options{
 		Published: &p.published, Client: p.client, Protocol: options.Protocol, Limits: p.limits, Units: p.units,
@@ -203,7 +203,7 @@
 func (p *Process) addControl(group *run.Group) {
 	ctx, cancel := context.WithCancel(context.Background())
 	group.Add(func() error {
-		defer p.quota.client.Close()
+		defer p.owners.client.Close()
 		go p.control.maintainLimits(ctx, p.handler.VerifyLimits)
 		return p.control.run(ctx)
 	}, func(error) {
--- a/pkg/forward/probe.go
+++ b/pkg/forward/probe.go
@@ -184,9 +184,10 @@
 	if current == nil {
 		return
 	}
+	now := time.Now()
 	for _, service := range current.Services {
 		for _, target := range slices.Concat(service.Main.All(), service.Canary.All()) {
-			if slices.Contains(keys, keyOf(target)) {
+			if slices.Contains(keys, keyOf(target)) && target.Observed.Accepts(now) {
 				go h.sendProbe(service.HealthPath, target, true)
 			}
 		}
--- a/pkg/quota/allocator.go
+++ b/pkg/quota/allocator.go
@@ -2,28 +2,15 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/fireflychute/fireflychute/pkg/share"
 )
 
-// MaintainInterval is the time between two calls of Maintain.
-const MaintainInterval = time.Second
-
 const (
-	// usedShare is the part of a limit that its owner grants. Each further owner takes over with
-	// half of the previous one's rate, so that all of them together stay below 2 * usedShare of
-	// the limit even if each believes the previous ones to be gone.
-	usedShare = 0.75
 	// ownerBurst is the number of units that an owner keeps while nobody asks.
 	ownerBurst = 1.5
-	// maxOwners is the number of nodes that may grant units of a limit.
-	maxOwners = 3
 	// minNodeRate is the rate per node, in units per second, from which on a limit is divided among
 	// all nodes instead of being granted by an owner: each of them then has units at any time.
 	minNodeRate = 4
@@ -38,16 +25,8 @@
 	grantLifetime = 500 * time.Millisecond
 	// suspectTime is how long an owner that did not reply is not asked again.
 	suspectTime = 2 * time.Second
-	// bucketRetention is how long an unused bucket is kept.
-	bucketRetention = time.Minute
-	// verifyInterval is the time without a response after which an owner sends a load probe to a
-	// limited target, to notice that the limit has ended.
-	verifyInterval = maxWait
 )
 
-// Node is a member of the fleet.
-type Node struct{ Name, Address string }
-
 // Ask asks an owner for a unit of a limit, or only whether it is there.
 type Ask struct {
 	// Limit is the limit as the asker knows it.
@@ -70,6 +49,8 @@
 	OK bool
 	// Wait is the time until there will be a unit for this asker, if OK is not set.
 	Wait time.Duration
+	// fromPeer is set if another node has decided.
+	fromPeer bool
 }
 
 // Peers sends an Ask to another node.
@@ -85,12 +66,6 @@
 	Refused, Failed atomic.Int64
 }
 
-// fleet is the list of nodes. It is replaced as a whole.
-type fleet struct {
-	names     []string
-	addresses map[string]string
-}
-
 // Allocator decides which requests a node may send to limited targets. For each target, rendezvous
 // hashing selects an owner among the nodes, which grants units to itself and to the others. It is
 // safe for concurrent use.
@@ -131,19 +106,6 @@
 	a.fleet.Store(f)
 }
 
-// owners returns the names of the nodes that may grant units of a limit, in order.
-func (f *fleet) owners(key Key) []string {
-	return share.First(key.Target+"/"+strconv.FormatInt(key.Incarnation, 10), f.names, maxOwners)
-}
-
-// WarmupLimit returns the limit of a cold target that tolerates a rate of requests per second.
-func WarmupLimit(target string, incarnation int64, rate float64) Limit {
-	return Limit{Key: Key{Target: target, Incarnation: incarnation, Warmup: true}, Limited: true, Rate: rate}
-}
-
-// ownerRate returns the rate at which the owner of a rank grants units.
-func ownerRate(rate float64, rank int) float64 { return usedShare * rate / float64(int(1)<<rank) }
-
 // nodeRate returns each node's share of a limit. It is 0 if the node is not listed yet.
 func (a *Allocator) nodeRate(f *fleet, rate float64) float64 {
 	if _, listed := f.addresses[a.self]; !listed {
@@ -166,7 +128,7 @@
 		return true
 	}
 	rate, burst, isOwner := a.ownShare(limit)
-	if !isOwner || !a.bucket(key, rate, burst).TryTake(a.now()) {
+	if !isOwner || !a.tryTake(key, rate, burst) {
 		return false
 	}
 	a.Counts.Own.Add(1)
@@ -215,15 +177,23 @@
 	switch {
 	case grant.OK && now.Sub(askedAt) > grantLifetime:
 		return Grant{Wait: grantLifetime}
-	case !grant.OK:
+	case grant.OK && grant.fromPeer:
+		a.Counts.Granted.Add(1)
+	case grant.OK:
+		a.Counts.Own.Add(1)
+	default:
 		a.Counts.Refused.Add(1)
-		a.mu.Lock()
-		a.retryAt[key] = now.Add(grant.Wait)
-		a.mu.Unlock()
+		a.setRetryAt(key, now.Add(grant.Wait))
 	}
 	return grant
 }
 
+func (a *Allocator) setRetryAt(key Key, until time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.retryAt[key] = until
+}
+
 // Wait returns the time until this node may ask again for a unit of a limit.
 func (a *Allocator) Wait(key Key) time.Duration { return max(0, a.waitOf(key, a.now())) }
 
@@ -259,7 +229,7 @@
 	f := a.fleet.Load()
 	key := ask.Limit.Key
 	if divided := a.nodeRate(f, ask.Limit.Rate); divided >= minNodeRate && !ask.Relayed {
-		return a.takeOwn(key, divided, nodeBurst)
+		return a.take(key, divided, nodeBurst)
 	}
 	owners := f.owners(key)
 	if ask.Relayed && !slices.Contains(owners, a.self) {
@@ -268,7 +238,7 @@
 	for rank, owner := range owners {
 		switch {
 		case owner == a.self:
-			return a.takeOwn(key, ownerRate(ask.Limit.Rate, rank), ownerBurst)
+			return a.take(key, ownerRate(ask.Limit.Rate, rank), ownerBurst)
 		case a.isSuspect(owner):
 			continue
 		}
@@ -280,14 +250,6 @@
 	return Grant{Wait: suspectTime}
 }
 
-func (a *Allocator) takeOwn(key Key, rate, burst float64) Grant {
-	wait, ok := a.bucket(key, rate, burst).Take(a.now())
-	if ok {
-		a.Counts.Own.Add(1)
-	}
-	return Grant{OK: ok, Wait: wait}
-}
-
 // askOwner asks one owner. An owner that does not reply is suspected.
 func (a *Allocator) askOwner(ctx context.Context, owner Node, ask Ask) (Grant, error) {
 	reply, err := a.peers.Ask(ctx, owner, ask)
@@ -299,9 +261,7 @@
 	if !reply.Known.Warmup {
 		a.table.Merge(owner.Name, []Limit{reply.Known}, a.now())
 	}
-	if reply.OK {
-		a.Counts.Granted.Add(1)
-	}
+	reply.fromPeer = true
 	return reply.Grant, nil
 }
 
@@ -317,109 +277,29 @@
 	a.suspects[node] = a.now().Add(suspectTime)
 }
 
-// lockedBucket is a bucket that belongs to an allocator.
-type lockedBucket struct {
-	allocator *Allocator
-	*Bucket
+// take takes a unit from this node's bucket of a limit, or returns the time until there will be one.
+func (a *Allocator) take(key Key, rate, burst float64) Grant {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	wait, ok := a.bucket(key, rate, burst).Take(a.now())
+	return Grant{OK: ok, Wait: wait}
 }
 
-// bucket returns this node's bucket of a limit with the given rate and burst. A new one is empty.
-func (a *Allocator) bucket(key Key, rate, burst float64) lockedBucket {
+// tryTake takes a unit from this node's bucket of a limit if there is one.
+func (a *Allocator) tryTake(key Key, rate, burst float64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return a.bucket(key, rate, burst).TryTake(a.now())
+}
+
+// bucket returns this node's bucket of a limit with the given rate and burst. A new one is empty. The
+// caller holds the lock.
+func (a *Allocator) bucket(key Key, rate, burst float64) *Bucket {
 	bucket := a.buckets[key]
 	if bucket == nil {
 		bucket = NewBucket(rate, burst, a.now())
 		a.buckets[key] = bucket
 	}
 	bucket.SetRate(rate, burst, a.now())
-	return lockedBucket{a, bucket}
-}
-
-// Take is Bucket.Take under the allocator's lock.
-func (b lockedBucket) Take(now time.Time) (time.Duration, bool) {
-	b.allocator.mu.Lock()
-	defer b.allocator.mu.Unlock()
-	return b.Bucket.Take(now)
-}
-
-// TryTake is Bucket.TryTake under the allocator's lock.
-func (b lockedBucket) TryTake(now time.Time) bool {
-	b.allocator.mu.Lock()
-	defer b.allocator.mu.Unlock()
-	return b.Bucket.TryTake(now)
-}
-
-// Maintain checks the owners before this node, so that it takes over if they are gone, and returns
-// the targets to which this node should send a load probe: it grants their units, and they have not
-// responded to it for a while. It is called every MaintainInterval.
-func (a *Allocator) Maintain(ctx context.Context) []Key {
-	a.dropUnused()
-	limits := a.table.Limited()
-	a.checkOwners(ctx, limits)
-	unheard := a.table.UnheardSince(a.now().Add(-verifyInterval))
-	var unverified []Key
-	for _, limit := range limits {
-		if !slices.Contains(unheard, limit.Key) || !a.isGrantor(limit.Key) {
-			continue
-		}
-		// A limit near zero would hide its own end.
-		if ownerRate(limit.Rate, 0)*verifyInterval.Seconds() < 1 || a.TryOwn(limit.Key) {
-			unverified = append(unverified, limit.Key)
-		}
-	}
-	return unverified
-}
-
-// checkOwners asks the owners before this node in any of the limits whether they are there.
-func (a *Allocator) checkOwners(ctx context.Context, limits []Limit) {
-	f := a.fleet.Load()
-	earlier := map[string]Limit{}
-	for _, limit := range limits {
-		owners := f.owners(limit.Key)
-		for _, owner := range owners[:max(0, slices.Index(owners, a.self))] {
-			earlier[owner] = limit
-		}
-	}
-	var checks sync.WaitGroup
-	for owner, limit := range earlier {
-		checks.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, askTimeout)
-			defer cancel()
-			_, err := a.askOwner(ctx, Node{owner, f.addresses[owner]}, Ask{Limit: limit, CheckOnly: true, Relayed: true})
-			if err == nil {
-				a.trust(owner)
-			}
-		})
-	}
-	checks.Wait()
-}
-
-// isGrantor reports whether this node is the first owner of a limit that is not suspected.
-func (a *Allocator) isGrantor(key Key) bool {
-	for _, owner := range a.fleet.Load().owners(key) {
-		if owner == a.self {
-			return true
-		}
-		if !a.isSuspect(owner) {
-			return false
-		}
-	}
-	return false
-}
-
-func (a *Allocator) trust(node string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	delete(a.suspects, node)
-}
-
-// dropUnused drops buckets that nobody has used for bucketRetention, and what has expired.
-func (a *Allocator) dropUnused() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := a.now()
-	maps.DeleteFunc(a.buckets, func(_ Key, bucket *Bucket) bool { return now.Sub(bucket.updatedAt) > bucketRetention })
-	maps.DeleteFunc(a.retryAt, func(_ Key, until time.Time) bool { return now.After(until) })
-	maps.DeleteFunc(a.suspects, func(_ string, until time.Time) bool { return now.After(until) })
+	return bucket
 }
--- a/pkg/quota/table.go
+++ b/pkg/quota/table.go
@@ -30,6 +30,11 @@
 	Version uint64
 }
 
+// WarmupLimit returns the limit of a cold target that tolerates a rate of requests per second.
+func WarmupLimit(target string, incarnation int64, rate float64) Limit {
+	return Limit{Key: Key{Target: target, Incarnation: incarnation, Warmup: true}, Limited: true, Rate: rate}
+}
+
 // isStricter reports whether a limit allows less than another one.
 func (l Limit) isStricter(other Limit) bool {
 	if l.Limited != other.Limited {
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -114,7 +114,7 @@
 	{LoadProbeFailures, ObservedCounter, "{question}", "Load questions without an answer.", nil},
 	{LimitedTargets, Gauge, "{target}", "Targets of which the node knows a limit for all nodes together.", nil},
 	{LimitedSends, ObservedCounter, "{send}", "Requests and load probes sent to targets of which the node knew a limit, by carrier (request, retry, hedge, probe).", []string{"carrier"}},
-	{LimitUnits, ObservedCounter, "{unit}", "Units of limits by result: own share, granted by another node, refused, or failed because an owner did not reply.", []string{"result"}},
+	{LimitUnits, ObservedCounter, "{unit}", "Units of limits and of the warm-up rate of cold targets, by result: own share, granted by another node, refused, or failed because an owner did not reply.", []string{"result"}},
 	{LimitsIgnored, ObservedCounter, "{response}", "Responses that named something that is not a limit.", nil},
 	{StoreAge, Gauge, "ms", "Time since the node or one that it follows last reached the platform's store.", nil},
 	{Watching, Gauge, "{node}", "1 when the node watches the platform's store.", nil},
--- a/testbed/cmd/soak/main.go
+++ b/testbed/cmd/soak/main.go
@@ -15,12 +15,14 @@
 )
 
 type options struct {
-	Binary   string  `long:"binary" default:"bin/fireflychute" description:"node binary"`
-	Seed     uint64  `long:"seed" default:"1" description:"first seed"`
-	Seeds    int     `long:"seeds" default:"1" description:"number of seeds"`
-	Seconds  float64 `long:"seconds" default:"12" description:"duration of the fault injection of one seed"`
-	Parallel int     `long:"parallel" default:"2" description:"seeds that run concurrently"`
-	Logs     string  `long:"logs" default:"tmp/soak" description:"folder for settings and logs"`
+	Binary    string  `long:"binary" default:"bin/fireflychute" description:"node binary"`
+	Seed      uint64  `long:"seed" default:"1" description:"first seed"`
+	Seeds     int     `long:"seeds" default:"1" description:"number of seeds"`
+	Seconds   float64 `long:"seconds" default:"12" description:"duration of the fault injection of one seed"`
+	Nodes     int     `long:"nodes" default:"4" description:"node processes of one seed"`
+	Instances int     `long:"instances" default:"5" description:"stand-in instances of one seed, at least 4"`
+	Parallel  int     `long:"parallel" default:"2" description:"seeds that run concurrently"`
+	Logs      string  `long:"logs" default:"tmp/soak" description:"folder for settings and logs"`
 }
 
 func main() {
@@ -44,7 +46,7 @@
 		running.Go(func() {
 			for seed := range seeds {
 				result, err := soak.Run(soak.Options{
-					Binary: opts.Binary, Seed: seed, Duration: time.Duration(opts.Seconds * float64(time.Second)),
+					Binary: opts.Binary, Nodes: opts.Nodes, Instances: opts.Instances, Seed: seed, Duration: time.Duration(opts.Seconds * float64(time.Second)),
 					Dir: filepath.Join(opts.Logs, strconv.FormatUint(seed, 10)),
 				})
 				mu.Lock()
--- a/testbed/edge/limit_test.go
+++ b/testbed/edge/limit_test.go
@@ -99,6 +99,28 @@
 	b.g.Expect(seconds).To(BeNumerically(">", 0.7), "it tolerates one request per second")
 }
 
+// Guards against a limit that only the node knows that heard it from the instance.
+func TestLimitReachesNodesThatHaveNotHeardIt(t *testing.T) {
+	w := newCluster(t, 3, 2)
+	w.start()
+	limited := w.instances[0]
+	limited.NameLimit("0.5")
+	arrived := len(limited.Arrivals())
+	w.g.Eventually(func() int {
+		w.call(w.nodes[0])
+		return len(limited.Arrivals())
+	}, "5s", "1ms").Should(BeNumerically(">", arrived))
+	time.Sleep(1500 * time.Millisecond)
+	from := time.Now()
+	for range 20 {
+		for _, n := range w.nodes[1:] {
+			w.g.Expect(w.call(n)).To(Equal(http.StatusOK))
+		}
+	}
+	w.g.Expect(time.Since(from)).To(BeNumerically("<", 2*time.Second))
+	w.g.Expect(countAfter(limited.Arrivals(), from)).To(BeNumerically("<=", 2), "half a request per second, and one that was left")
+}
+
 // Guards against a limit that outlives the incarnation of the instance that named it.
 func TestLimitEndsWithIncarnation(t *testing.T) {
 	b := newTestBalancer(t, 1)
--- a/testbed/soak/cluster.go
+++ b/testbed/soak/cluster.go
@@ -18,10 +18,6 @@
 
 // Fixed values of a soak.
 const (
-	// Size of the cluster of a soak.
-	initialNodes     = 4
-	initialInstances = 5
-
 	// warmupRate is the number of requests per second that a cold instance tolerates.
 	warmupRate = 10.0
 
--- a/testbed/soak/limit.go
+++ b/testbed/soak/limit.go
@@ -117,7 +117,7 @@
 	if !s.isLimited.CompareAndSwap(false, true) {
 		return
 	}
-	i := s.cluster.instances[initialInstances-1]
+	i := s.cluster.instances[s.options.Instances-1]
 	s.logFault("%s names a limit of %s and then %s, each for %v", i.ID(), first, second, duration)
 	s.pending.Go(func() {
 		for _, limit := range []string{first, second} {
--- a/testbed/soak/load.go
+++ b/testbed/soak/load.go
@@ -46,14 +46,19 @@
 	g.failures = append(g.failures, fmt.Sprintf(format, values...))
 }
 
+// callsPerSecond is the number of requests per second of one kind to all nodes together, as far as
+// they are answered at once.
+const callsPerSecond = 4 / 0.015
+
 // run sends requests to one node until the context ends. It reuses connections, as callers do.
 func (g *loadGenerator) run(ctx context.Context, n *node, kind string) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}
+	pause := time.Duration(float64(len(g.cluster.nodes)) / callsPerSecond * float64(time.Second))
 	for ctx.Err() == nil {
 		g.call(ctx, client, n, kind)
 		select {
 		case <-ctx.Done():
-		case <-time.After(15 * time.Millisecond):
+		case <-time.After(pause):
 		}
 	}
 }
--- a/testbed/soak/soak.go
+++ b/testbed/soak/soak.go
@@ -31,6 +31,8 @@
 	Seed uint64
 	// Duration is the time during which faults are injected.
 	Duration time.Duration
+	// Nodes and Instances are the numbers of node processes and of stand-in instances.
+	Nodes, Instances int
 	// Dir is the directory for the settings and logs of the nodes; it is created if missing.
 	Dir string
 }
@@ -68,7 +70,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	w, err := newCluster(options.Dir, options.Binary, size{nodes: initialNodes, instances: initialInstances})
+	w, err := newCluster(options.Dir, options.Binary, size{nodes: options.Nodes, instances: options.Instances})
 	if err != nil {
 		return Result{}, err
 	}
@@ -318,7 +320,7 @@
 // sampleInstance returns a random instance other than the last of the initial ones, which stays
 // free of faults.
 func (s *soak) sampleInstance() *instance.Instance {
-	return s.cluster.instances[s.rng.IntN(initialInstances-1)]
+	return s.cluster.instances[s.rng.IntN(s.options.Instances-1)]
 }
 
 // injectInstancePathFault applies a fault to the path from all nodes to one instance.
