Count the asks of simulated nodes safely

make race failed in TestFleetKeepsTheLimitUnderFaults: the simulated network counts asks, and Allocator.Maintain asks several owners at once. The counter of the test is atomic now; the allocator itself had no race.

--- a/pkg/quota/designs_test.go
+++ b/pkg/quota/designs_test.go
@@ -116,7 +116,7 @@
 					worst = max(worst, result.excess)
 					used += result.used / seeds
 					if fleet != nil {
-						asks += fleet.asks
+						asks += int(fleet.asks.Load())
 					}
 				}
 				t.Logf("%3d nodes, limit %4.1f: %-38s worst window %5.2f of the bound, %3.0f%% of the limit used, %.1f asks/s",
--- a/pkg/quota/simulated_fleet_test.go
+++ b/pkg/quota/simulated_fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 )
 
@@ -30,7 +31,8 @@
 	random *rand.Rand
 	// sent holds the time of each request and load probe that reached the target.
 	sent []time.Time
-	asks int
+	// asks is counted by the goroutines of Allocator.Maintain as well.
+	asks atomic.Int64
 }
 
 func newSimFleet(nodes int, seed uint64) *simFleet {
@@ -82,7 +84,7 @@
 }
 
 func (p simPeers) Ask(ctx context.Context, to Node, ask Ask) (Reply, error) {
-	p.fleet.asks++
+	p.fleet.asks.Add(1)
 	index := slices.IndexFunc(p.fleet.nodes, func(node *simNode) bool { return node.Name == to.Name })
 	if index < 0 {
 		return Reply{}, errUnreachable
