Decide in one place who grants a limit and when it is divided

The loop over the owners before this node stood in Allocator.ownShare and again in isGrantor, the comparison with minNodeRate in three places, and the test for a limit too low for load probes in limitedTargets and again in mayProbe. Each has one function now. Maintain goes through the unheard limits instead of searching them for each limit. The comment on maxEntries promised what the table does not do. Behaviour is as before.

--- a/pkg/forward/limited.go
+++ b/pkg/forward/limited.go
@@ -12,15 +12,13 @@
 // limitedTargets returns the targets of a pool that may serve the request and that name a limit too
 // low for load probes: each probe would take the place of a request.
 func (c *call) limitedTargets(pool *topology.Pool) []*topology.Target {
-	options := &c.handler.options
-	if options.Limits.IsEmpty() {
+	if c.handler.options.Limits.IsEmpty() {
 		return nil
 	}
 	var limited []*topology.Target
 	now := time.Now()
 	for _, target := range pool.All() {
-		limit, isLimited := options.Limits.Get(keyOf(target))
-		if isLimited && !options.Units.IsDivided(limit) && c.isUsable(target, now) {
+		if !c.mayProbe(target) && c.isUsable(target, now) {
 			limited = append(limited, target)
 		}
 	}
@@ -29,6 +27,13 @@
 	})
 }
 
+// mayProbe reports whether the limit of a target, if it names one, leaves room for load probes.
+func (c *call) mayProbe(target *topology.Target) bool {
+	options := &c.handler.options
+	limit, limited := options.Limits.Get(keyOf(target))
+	return !limited || options.Units.IsDivided(limit)
+}
+
 // isUsable reports whether the request may be sent to a target that is not probed first.
 func (c *call) isUsable(target *topology.Target, now time.Time) bool {
 	if !c.route.Allows(target) || c.wasAttempted(target) {
--- a/pkg/forward/sample.go
+++ b/pkg/forward/sample.go
@@ -170,13 +170,6 @@
 	}
 }
 
-// mayProbe reports whether the limit of a target, if it names one, leaves room for load probes.
-func (c *call) mayProbe(target *topology.Target) bool {
-	options := &c.handler.options
-	limit, limited := options.Limits.Get(keyOf(target))
-	return !limited || options.Units.IsDivided(limit)
-}
-
 func (s *sampler) wasProbed(target *topology.Target) bool {
 	for i := range s.probed {
 		if s.probed[i].target.Observed == target.Observed {
--- a/pkg/quota/allocator.go
+++ b/pkg/quota/allocator.go
@@ -106,18 +106,21 @@
 	a.fleet.Store(f)
 }
 
-// nodeRate returns each node's share of a limit. It is 0 if the node is not listed yet.
-func (a *Allocator) nodeRate(f *fleet, rate float64) float64 {
+// nodeRate returns each node's share of a limit that is high enough to be divided among all. isDivided
+// is false for a lower limit, and if this node is not listed yet.
+func (a *Allocator) nodeRate(f *fleet, limit Limit) (rate float64, isDivided bool) {
 	if _, listed := f.addresses[a.self]; !listed {
-		return 0
+		return 0, false
 	}
-	return usedShare * rate / float64(len(f.names))
+	rate = usedShare * limit.Rate / float64(len(f.names))
+	return rate, rate >= minNodeRate
 }
 
 // IsDivided reports whether a limit is so high that each node has a share of it, so that load probes
 // may be sent as well.
 func (a *Allocator) IsDivided(limit Limit) bool {
-	return a.nodeRate(a.fleet.Load(), limit.Rate) >= minNodeRate
+	_, isDivided := a.nodeRate(a.fleet.Load(), limit)
+	return isDivided
 }
 
 // TryOwn takes a unit that this node holds itself, and reports whether it did. The target must not
@@ -139,18 +142,28 @@
 // another node holds them.
 func (a *Allocator) ownShare(limit Limit) (rate, burst float64, isOwner bool) {
 	f := a.fleet.Load()
-	if divided := a.nodeRate(f, limit.Rate); divided >= minNodeRate {
-		return divided, nodeBurst, true
+	if rate, isDivided := a.nodeRate(f, limit); isDivided {
+		return rate, nodeBurst, true
 	}
-	for rank, owner := range f.owners(limit.Key) {
+	rank, isGrantor := a.grantorRank(f, limit.Key)
+	if !isGrantor {
+		return 0, 0, false
+	}
+	return ownerRate(limit.Rate, rank), ownerBurst, true
+}
+
+// grantorRank returns the rank of this node among the owners of a limit. isGrantor is false if it is
+// none of them, or if one before it is not suspected.
+func (a *Allocator) grantorRank(f *fleet, key Key) (rank int, isGrantor bool) {
+	for rank, owner := range f.owners(key) {
 		if owner == a.self {
-			return ownerRate(limit.Rate, rank), ownerBurst, true
+			return rank, true
 		}
 		if !a.isSuspect(owner) {
-			return 0, 0, false
+			return 0, false
 		}
 	}
-	return 0, 0, false
+	return 0, false
 }
 
 // Acquire takes a unit of the limit that a target has named.
@@ -228,8 +241,8 @@
 func (a *Allocator) decide(ctx context.Context, ask Ask) Grant {
 	f := a.fleet.Load()
 	key := ask.Limit.Key
-	if divided := a.nodeRate(f, ask.Limit.Rate); divided >= minNodeRate && !ask.Relayed {
-		return a.take(key, divided, nodeBurst)
+	if rate, isDivided := a.nodeRate(f, ask.Limit); isDivided && !ask.Relayed {
+		return a.take(key, rate, nodeBurst)
 	}
 	owners := f.owners(key)
 	if ask.Relayed && !slices.Contains(owners, a.self) {
--- a/pkg/quota/maintain.go
+++ b/pkg/quota/maintain.go
@@ -23,12 +23,10 @@
 // responded to it for a while. It is called every MaintainInterval.
 func (a *Allocator) Maintain(ctx context.Context) []Key {
 	a.dropUnused()
-	limits := a.table.Limited()
-	a.checkOwners(ctx, limits)
-	unheard := a.table.UnheardSince(a.now().Add(-verifyInterval))
+	a.checkOwners(ctx, a.table.Limited())
 	var unverified []Key
-	for _, limit := range limits {
-		if !slices.Contains(unheard, limit.Key) || !a.isGrantor(limit.Key) {
+	for _, limit := range a.table.UnheardSince(a.now().Add(-verifyInterval)) {
+		if _, isGrantor := a.grantorRank(a.fleet.Load(), limit.Key); !isGrantor {
 			continue
 		}
 		// A limit near zero would hide its own end.
@@ -63,19 +61,6 @@
 	checks.Wait()
 }
 
-// isGrantor reports whether this node is the first owner of a limit that is not suspected.
-func (a *Allocator) isGrantor(key Key) bool {
-	for _, owner := range a.fleet.Load().owners(key) {
-		if owner == a.self {
-			return true
-		}
-		if !a.isSuspect(owner) {
-			return false
-		}
-	}
-	return false
-}
-
 func (a *Allocator) trust(node string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/pkg/quota/table.go
+++ b/pkg/quota/table.go
@@ -60,8 +60,7 @@
 	Source string
 }
 
-// maxEntries limits the targets in a table. Limits beyond it are still honoured by the node that
-// hears them, once an entry is free.
+// maxEntries limits the targets in a table. Limits of further targets are not kept.
 const maxEntries = 16384
 
 type entry struct {
@@ -239,13 +238,13 @@
 	return limits
 }
 
-// UnheardSince returns the limited targets that have not responded to this node since a time.
-func (t *Table) UnheardSince(since time.Time) []Key {
-	var keys []Key
-	for _, limit := range t.list(func(known *entry) bool { return known.limit.Limited && known.heardAt.Before(since) }) {
-		keys = append(keys, limit.Key)
+// UnheardSince returns the limits in force of targets that have not responded to this node since a
+// time.
+func (t *Table) UnheardSince(since time.Time) []Limit {
+	if t.IsEmpty() {
+		return nil
 	}
-	return keys
+	return t.list(func(known *entry) bool { return known.limit.Limited && known.heardAt.Before(since) })
 }
 
 // listingRetention is how long a limit is kept after its target was last listed. An entry that
