Run at most two loaded clusters at once, so that stand-ins record arrivals in time

A trace of what nodes sent beside what instances recorded shows that nodes kept the limits: once they knew one, they sent at most one probe per second, while the stand-ins, starved in the test's own process by up to nine clusters under the race detector, recorded bursts up to 8.8 s after the limit was named. In other runs no response got out for seconds, so that no node could know the limit.

Checks, bounds and the load of a cluster are unchanged; only fewer clusters run at a time.

--- a/testbed/soak/limit_test.go
+++ b/testbed/soak/limit_test.go
@@ -39,6 +39,10 @@
 	return m.Run()
 }
 
+// runningClusters holds an entry for each cluster that runs. More than two at a time starve the
+// stand-ins, which share this process: they then record arrivals seconds after they were sent.
+var runningClusters = make(chan struct{}, 2)
+
 const (
 	limitTestNodes     = 6
 	limitTestInstances = 4
@@ -60,7 +64,6 @@
 	t       *testing.T
 	cluster *cluster
 	load    *loadGenerator
-	stop    context.CancelFunc
 	running sync.WaitGroup
 	mu      sync.Mutex
 	answers []answer
@@ -73,6 +76,8 @@
 // newLoadedCluster starts a cluster whose nodes get a request per interval each.
 func newLoadedCluster(t *testing.T, size size, interval time.Duration) *limitTest {
 	t.Parallel()
+	runningClusters <- struct{}{}
+	t.Cleanup(func() { <-runningClusters })
 	w, err := newCluster(t.TempDir(), binary, size)
 	l := &limitTest{WithT: NewWithT(t), t: t, cluster: w}
 	l.Expect(err).NotTo(HaveOccurred())
@@ -85,7 +90,6 @@
 		l.Expect(awaitReady(n, readyTimeout)).To(BeTrue(), n.name)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	l.stop = cancel
 	for i, n := range w.nodes {
 		l.running.Go(func() { l.callEvery(ctx, n, interval, i%2 == 0) })
 	}
