--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins and clients of the scripts into target/review/. They use the standard library only.
+set -euo pipefail
+cd "$(dirname "$0")"
+GOWORK=off GOFLAGS=-mod=mod go build -o ../target/review/ ./cmd/...
