--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -54,6 +55,13 @@
 		l.Note("cannot run: the script took longer than %v", maxDuration)
 		l.end(exitFailed)
 	})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		received := <-signals
+		l.Note("cannot run: %v", received)
+		l.end(exitFailed)
+	}()
 	broken, err := run(l)
 	switch {
 	case err != nil:
@@ -236,8 +244,8 @@
 probes-per-s = 60
 `
 
-// StartNodes starts count nodes and waits until they are ready and have had the time to find each other.
-func (l *Lab) StartNodes(count int) error {
+// addNodes adds count nodes with addresses that are free.
+func (l *Lab) addNodes(count int) error {
 	for i := range count {
 		ip := fmt.Sprintf("127.0.41.%d", i+1)
 		n := &Node{Name: fmt.Sprintf("edge-alex-east-%d", i+1), exited: make(chan struct{})}
@@ -254,9 +262,9 @@
 	return nil
 }
 
-// Start starts the process of each node.
+// Start starts the processes of count nodes and waits until they are ready and have had the time to find each other.
 func (l *Lab) Start(count int) error {
-	err := l.StartNodes(count)
+	err := l.addNodes(count)
 	if err != nil {
 		return err
 	}
