--- a/review/cmd/earlyanswer/main.go
+++ b/review/cmd/earlyanswer/main.go
@@ -3,23 +3,23 @@
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"review/lab"
 )
 
 const (
-	uploads  = 12
-	clients  = 4
+	clients  = 40
 	deadline = 10 * time.Second
 	route    = "bundle"
 	// pieceBytes are sent at a time, with a pause after each: a link of about 10 Mbit/s.
@@ -27,6 +27,12 @@
 	piecePause = 13 * time.Millisecond
 	// earlyAfter is how much of the body an instance has read when it begins its answer.
 	earlyAfter = 64 << 10
+	// A disruption as fleetbench kinds gives it: a share of the instances begin a part of their answers early for some
+	// time. It comes windows times, with a pause after each.
+	instances           = 5
+	faultyShare, early  = 0.4, 0.02
+	windowLength, pause = 5 * time.Second, 2 * time.Second
+	windows             = 8
 )
 
 func env(name string, value int) int {
@@ -43,8 +49,11 @@
 
 type script struct {
 	*lab.Lab
+	garble   lab.Window
+	stop     atomic.Bool
 	mu       sync.Mutex
 	answered int
+	begun    int
 	wrong    int
 	whole    int
 	cut      int
@@ -58,8 +67,8 @@
 }
 
 func (s *script) run() (bool, error) {
-	for i := range 3 {
-		err := s.startInstance(fmt.Sprintf("i-%d", i))
+	for i := range instances {
+		err := s.startInstance(fmt.Sprintf("i-%d", i), i < faultyShare*instances)
 		if err != nil {
 			return false, err
 		}
@@ -72,16 +81,21 @@
 	var running sync.WaitGroup
 	for i := range clients {
 		running.Go(func() {
-			for range uploads / clients {
+			for !s.stop.Load() {
 				s.upload(i)
 			}
 		})
 	}
+	for range windows {
+		s.Disrupt(&s.garble, "garble, early", windowLength)
+		time.Sleep(pause)
+	}
+	s.stop.Store(true)
 	running.Wait()
 	time.Sleep(time.Second)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.Note("sum: %d answers whole; bodies at instances: %d whole, %d cut off, %d with OTHER BYTES", s.answered, s.whole, s.cut, s.wrong)
+	s.Note("sum: %d answers whole, %d begun early; bodies at instances: %d whole, %d cut off, %d with OTHER BYTES", s.answered, s.begun, s.whole, s.cut, s.wrong)
 	if s.answered == 0 {
 		return false, fmt.Errorf("no upload was answered")
 	}
@@ -90,11 +104,12 @@
 
 // content returns the body of an upload: numbered lines that bear its id.
 func content(id string) []byte {
-	var b bytes.Buffer
-	for line := 0; b.Len() < uploadBytes; line++ {
-		fmt.Fprintf(&b, "%s %08d\n", id, line)
+	b := make([]byte, 0, uploadBytes+64)
+	for line := int64(10_000_000); len(b) < uploadBytes; line++ {
+		b = append(append(b, id...), ' ')
+		b = append(strconv.AppendInt(b, line, 10), '\n')
 	}
-	return b.Bytes()[:uploadBytes]
+	return b[:uploadBytes]
 }
 
 func (s *script) upload(number int) {
@@ -131,7 +146,7 @@
 }
 
 // startInstance starts an instance that serves uploads.
-func (s *script) startInstance(name string) error {
+func (s *script) startInstance(name string, faulty bool) error {
 	listener, err := net.Listen("tcp", "127.0.42.1:0")
 	if err != nil {
 		return err
@@ -143,13 +158,13 @@
 			if err != nil {
 				return
 			}
-			go s.serve(name, conn)
+			go s.serve(name, faulty, conn)
 		}
 	}()
 	return nil
 }
 
-func (s *script) serve(name string, conn net.Conn) {
+func (s *script) serve(name string, faulty bool, conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
@@ -163,11 +178,15 @@
 			continue
 		}
 		s.Note("upload %s: %s runs it", id, name)
-		early := make([]byte, earlyAfter)
-		n, err := io.ReadFull(request.Body, early)
-		received := early[:n]
-		if s.Trouble && err == nil {
+		received := make([]byte, earlyAfter, uploadBytes+1)
+		n, err := io.ReadFull(request.Body, received)
+		received = received[:n]
+		answersEarly := err == nil && faulty && s.garble.Open() && rand.Float64() < early
+		if answersEarly {
 			s.Note("upload %s: %s begins its answer after %d bytes", id, name, n)
+			s.mu.Lock()
+			s.begun++
+			s.mu.Unlock()
 			answer(conn, id)
 		}
 		rest, err := io.ReadAll(request.Body)
@@ -176,7 +195,7 @@
 		if err != nil {
 			return
 		}
-		if !s.Trouble {
+		if !answersEarly {
 			answer(conn, id)
 		}
 	}
@@ -188,13 +207,13 @@
 }
 
 func (s *script) judge(name, id string, received []byte, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	sent := content(id)
 	same := 0
 	for same < min(len(sent), len(received)) && sent[same] == received[same] {
 		same++
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	switch {
 	case same == len(sent) && err == nil:
 		s.whole++
