--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 
 test:
 	go test $(SKIP) $(MODULES)
-	GOWORK=off go -C tools test ./docnames ./publicnames
+	GOWORK=off go -C tools test ./docnames ./publicnames ./rolloutdays
 
 race:
 	go test -race $(SKIP) $(MODULES)
@@ -67,7 +67,7 @@
 	@unformatted=$$(GOWORK=off $(TOOL) gofumpt -l cmd internal pkg platform testbed tools); \
 	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
 	go vet $(MODULES)
-	GOWORK=off go -C tools vet ./docnames ./publicnames
+	GOWORK=off go -C tools vet ./docnames ./publicnames ./rolloutdays
 	GOWORK=off go -C tools run ./docnames ..
 	staticcheck=$$(GOWORK=off $(TOOL) -n staticcheck) && $$staticcheck -checks all,-ST1005 $(MODULES)
 
