Keep the exposure bound of a rollout without a verdict

Cause: the bound was kept by an early verdict alone, except for services with few requests. A fault that is rare, late, on one route or only under load does not show in time, and from the promotion to the deadline the version got everything. Class: a limit that holds only if detection works.

Change: the requests that remain until the deadline at full share are part of what a promotion spends. Where no promotion fits before the deadline (short, with many requests) the bound wins: the version completes late, and the log says so. Steps are logged with the requests that the version has got and the p-values, the leader decides on counts of the moment and not of the last analysis, and analyses every 0.3 s while the version has all requests.

--- a/pkg/canary/outcomes.go
+++ b/pkg/canary/outcomes.go
@@ -175,26 +175,22 @@
 	return c
 }
 
-const (
-	// tailQuantile is the quantile that TailLatency returns, minTailSamples the number of
-	// latencies that it needs.
-	tailQuantile   = 0.99
-	minTailSamples = 20
-)
+// minQuantileSamples is the number of latencies that LatencyQuantile needs.
+const minQuantileSamples = 20
 
-// TailLatency returns the 99th percentile of the latencies, or 0 while there are fewer than
-// minTailSamples.
-func (c Counts) TailLatency() time.Duration {
+// LatencyQuantile returns a quantile of the latencies, or 0 while there are fewer than
+// minQuantileSamples.
+func (c Counts) LatencyQuantile(quantile float64) time.Duration {
 	var total, seen uint64
 	for _, count := range c.Latencies {
 		total += count
 	}
-	if total < minTailSamples {
+	if total < minQuantileSamples {
 		return 0
 	}
 	for bucket, count := range c.Latencies {
 		seen += count
-		if float64(seen) >= tailQuantile*float64(total) {
+		if float64(seen) >= quantile*float64(total) {
 			return time.Duration(bucketMicros(bucket)) * time.Microsecond
 		}
 	}
--- a/pkg/edge/advance.go
+++ b/pkg/edge/advance.go
@@ -15,28 +15,16 @@
 const minShareChange = 0.01
 
 // advanceRollout decides the next step of a rollout and writes it and the status.
-func (c *controller) advanceRollout(ctx context.Context, now time.Time, t *trackedRollout, order topology.Order) {
-	progress := canary.Progress{
-		Elapsed: t.elapsed(now), Duration: order.Duration, Share: t.share, ShareAge: now.Sub(t.shareSince),
-		LeaderTime: now.Sub(c.rollouts.leaderSince), Requests: int(t.totalRequests), Rate: t.requestRate, Bad: t.bad || t.blocked,
-		FailurePValue: t.pValues.Failures, LatencyPValue: t.pValues.Latency,
-	}
+func (c *controller) advanceRollout(ctx context.Context, now time.Time, t *trackedRollout, order topology.Order, counts map[canary.Key]canary.Counts) {
 	targetCount := c.countTargets(order)
+	progress := c.progress(now, t, order, counts)
 	progress.HasTargets = targetCount > 0
-	var oldCounts canary.Counts
-	for key, row := range t.lastCounts {
-		if key.Canary {
-			progress.Exposed += int(row.Requests)
-		} else {
-			oldCounts = oldCounts.Add(row)
-		}
-	}
-	progress.OldTailLatency = oldCounts.TailLatency()
 	bounds := canary.ExposureBounds{Share: c.options.Settings.CanaryShare, Slack: c.options.Settings.CanarySlack}
 	decision := canary.Decide(progress, bounds)
+	c.logLate(t, order, progress, decision)
 	switch {
 	case decision.RollBack:
-		c.writeStep(ctx, now, t, order, catalog.Step{Failed: true})
+		c.writeStep(ctx, now, t, order, progress, catalog.Step{Failed: true})
 		// The next rollout derives its old version from the step, so the step is written
 		// before the status.
 		if c.hasFailedStep(order) {
@@ -45,13 +33,54 @@
 	case decision.Complete:
 		c.writeStatus(ctx, now, t, order, catalog.RolloutComplete)
 	default:
-		c.writeStep(ctx, now, t, order, catalog.Step{Share: decision.Share, Targets: decision.Targets(targetCount)})
+		c.writeStep(ctx, now, t, order, progress, catalog.Step{Share: decision.Share, Targets: decision.Targets(targetCount)})
 		if order.State == catalog.RolloutNew {
 			c.writeStatus(ctx, now, t, order, catalog.RolloutInProgress)
 		}
 	}
 }
 
+// progress returns what is known of a rollout.
+func (c *controller) progress(now time.Time, t *trackedRollout, order topology.Order, counts map[canary.Key]canary.Counts) canary.Progress {
+	p := canary.Progress{
+		Elapsed: t.elapsed(now), Duration: order.Duration, Share: t.share, ShareAge: now.Sub(t.shareSince),
+		LeaderTime: now.Sub(c.rollouts.leaderSince), Rate: t.requestRate,
+		Bad: t.bad || t.blocked, BlockingNodes: len(c.rollouts.blocking[order.ID]),
+		FailurePValue: t.pValues.Failures, LatencyPValue: t.pValues.Latency,
+	}
+	var oldCounts canary.Counts
+	for key, row := range counts {
+		p.Requests += int(row.Requests)
+		if key.Canary {
+			p.Exposed += int(row.Requests)
+		} else {
+			oldCounts = oldCounts.Add(row)
+		}
+	}
+	p.OldTailLatency, p.OldP90Latency = oldCounts.LatencyQuantile(tailQuantile), oldCounts.LatencyQuantile(drainQuantile)
+	return p
+}
+
+// Quantiles of the old version's latency: the requests that a promotion waits for, at best and at least.
+const (
+	tailQuantile  = 0.99
+	drainQuantile = 0.9
+)
+
+// logLate logs once that the exposure bound leaves no time to complete a rollout before its deadline.
+func (c *controller) logLate(t *trackedRollout, order topology.Order, progress canary.Progress, decision canary.Decision) {
+	if decision.Late == t.late || progress.Requests == 0 {
+		return
+	}
+	t.late = decision.Late
+	event := c.log.Info()
+	if t.late {
+		event = c.log.Warn()
+	}
+	event.Str("service", order.Service).Str("version", order.Version).Dur("duration", order.Duration).Dur("elapsed", progress.Elapsed).
+		Float64("rate", progress.Rate).Bool("late", t.late).Msg("time that the exposure bound leaves for the promotion changed; the bound is kept, a late rollout completes after its deadline")
+}
+
 // hasFailedStep reports whether the step that marks the rollout as failed is stored.
 func (c *controller) hasFailedStep(order topology.Order) bool {
 	step, exists := c.view.steps[order.Service]
@@ -69,7 +98,7 @@
 }
 
 // writeStep writes a step if it differs from the one in force.
-func (c *controller) writeStep(ctx context.Context, now time.Time, t *trackedRollout, order topology.Order, step catalog.Step) {
+func (c *controller) writeStep(ctx context.Context, now time.Time, t *trackedRollout, order topology.Order, progress canary.Progress, step catalog.Step) {
 	current, exists := c.view.steps[order.Service]
 	same := exists && order.Owns(current) && current.Failed == step.Failed &&
 		current.Targets == step.Targets && math.Abs(current.Share-step.Share) < minShareChange
@@ -85,7 +114,9 @@
 	}
 	object, stored := c.replica.Object(replica.Steps, order.Service)
 	c.log.Info().Str("service", order.Service).Str("version", order.Version).Float64("share", step.Share).Int("targets", step.Targets).Bool("failed", step.Failed).
-		Dur("elapsed", step.Elapsed).Uint64("requests", t.totalRequests).Float64("rate", t.requestRate).Msg("writing rollout step")
+		Dur("elapsed", step.Elapsed).Int("requests", progress.Requests).Int("exposed", progress.Exposed).Float64("rate", progress.Rate).
+		Int("blockingNodes", progress.BlockingNodes).Float64("failurePValue", progress.FailurePValue).Float64("latencyPValue", progress.LatencyPValue).
+		Msg("writing rollout step")
 	c.write(ctx, &t.stepWrite, replica.Steps, func(ctx context.Context) (replica.Object, error) {
 		if stored {
 			return c.options.Store.Replace(ctx, replica.Steps, order.Service, object.Revision, spec)
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
@@ -14,8 +15,13 @@
 	"github.com/fireflychute/fireflychute/pkg/topology"
 )
 
-// analysisInterval is the minimum time between two comparisons of the canary with the old version.
-const analysisInterval = time.Second
+const (
+	// analysisInterval is the minimum time between two comparisons of the canary with the old version.
+	analysisInterval = time.Second
+	// fullShareAnalysisInterval is the same while the new version has all requests: the time until
+	// it is reported complete is short.
+	fullShareAnalysisInterval = 300 * time.Millisecond
+)
 
 // rolloutState is the node's state of rollouts that is not in the replica.
 type rolloutState struct {
@@ -25,6 +31,8 @@
 	// reports holds the latest counts of each incarnation of each node. Counts of earlier
 	// incarnations still count.
 	reports map[reportKey]map[canary.Key]canary.Counts
+	// blocking holds, by order ID, the nodes that block the order's version on their own counts.
+	blocking map[uint64]map[string]bool
 	// tracked holds the open rollouts by order ID.
 	tracked map[uint64]*trackedRollout
 }
@@ -47,6 +55,8 @@
 	totalRequests uint64
 	bad           bool
 	blocked       bool
+	// late is set while the exposure bound leaves no time to complete the version in time.
+	late bool
 	// shareSince is when the share in force was first seen. storedElapsed is the elapsed time
 	// that the last stored step records, storedElapsedAt is when that step was first seen.
 	shareSince      time.Time
@@ -59,7 +69,10 @@
 }
 
 func newRolloutState() rolloutState {
-	return rolloutState{reports: map[reportKey]map[canary.Key]canary.Counts{}, tracked: map[uint64]*trackedRollout{}}
+	return rolloutState{
+		reports: map[reportKey]map[canary.Key]canary.Counts{}, blocking: map[uint64]map[string]bool{},
+		tracked: map[uint64]*trackedRollout{},
+	}
 }
 
 // isOpen reports whether a rollout is neither completed nor rolled back.
@@ -118,14 +131,21 @@
 	c.rollouts.reports[reportKey{node, fetch.Incarnation}] = rows
 }
 
+// block records that a node blocks the version of an order. A node that restarts has lost its
+// counts, not the evidence, so the record stays.
+func (r *rolloutState) block(order uint64, node string) {
+	if r.blocking[order] == nil {
+		r.blocking[order] = map[string]bool{}
+	}
+	r.blocking[order][node] = true
+}
+
 // updateRollouts analyses all open rollouts and, on the leader, advances them.
 func (c *controller) updateRollouts(ctx context.Context, now time.Time) {
 	open := c.openOrders()
-	for order := range c.rollouts.tracked {
-		if !open[order] {
-			delete(c.rollouts.tracked, order)
-		}
-	}
+	isClosed := func(order uint64) bool { return !open[order] }
+	maps.DeleteFunc(c.rollouts.tracked, func(order uint64, _ *trackedRollout) bool { return isClosed(order) })
+	maps.DeleteFunc(c.rollouts.blocking, func(order uint64, _ map[string]bool) bool { return isClosed(order) })
 	if len(open) == 0 {
 		clear(c.rollouts.reports)
 		return
@@ -137,9 +157,10 @@
 		}
 		t := c.track(now, order)
 		c.blockLocally(now, t, order, local)
-		c.analyseCanary(now, t, order, local)
+		counts := c.sumCounts(order.ID, local)
+		c.analyseCanary(now, t, order, counts)
 		if c.rollouts.isLeader {
-			c.advanceRollout(ctx, now, t, order)
+			c.advanceRollout(ctx, now, t, order, counts)
 		}
 	}
 }
@@ -182,6 +203,7 @@
 		oldKey.Canary = false
 		if canary.IsBadLocally(local[oldKey], row) {
 			t.blocked = true
+			c.rollouts.block(order.ID, c.self.Name)
 			c.stats.blocked.Add(1)
 			c.log.Warn().Str("service", order.Service).Str("version", order.Version).Str("route", key.Route).
 				Uint64("requests", row.Requests).Uint64("failures", row.Failures).Msg("canary version blocked on this node's own evidence; sending it no more requests")
@@ -191,18 +213,23 @@
 	}
 }
 
+// sumCounts returns the counts of an order over all nodes.
+func (c *controller) sumCounts(order uint64, local map[canary.Key]canary.Counts) map[canary.Key]canary.Counts {
+	sums := map[canary.Key]canary.Counts{}
+	addCounts(sums, order, local)
+	for _, rows := range c.rollouts.reports {
+		addCounts(sums, order, rows)
+	}
+	return sums
+}
+
 // analyseCanary compares the two versions on the counts of all nodes since the last analysis.
-func (c *controller) analyseCanary(now time.Time, t *trackedRollout, order topology.Order, local map[canary.Key]canary.Counts) {
+func (c *controller) analyseCanary(now time.Time, t *trackedRollout, order topology.Order, sums map[canary.Key]canary.Counts) {
 	period := now.Sub(t.analysedAt)
-	if period < analysisInterval {
+	if period < fullShareAnalysisInterval || t.share < 1 && period < analysisInterval {
 		return
 	}
 	t.analysedAt = now
-	sums := map[canary.Key]canary.Counts{}
-	addCounts(sums, order.ID, local)
-	for _, rows := range c.rollouts.reports {
-		addCounts(sums, order.ID, rows)
-	}
 	var total uint64
 	overLimit := t.blocked
 	for key, row := range sums {
