Tell the leader which nodes block a version on their own counts

Cause: a block on a node's own counts stayed with that node. The leader saw only the sums over all nodes, in which its failures are diluted. Class: evidence that does not reach the one who decides.

Change: each fetch reports the sender's view of the open orders (OrderReport). Two nodes that block a version make it bad at once; a single one, which may see one faulty target, keeps it from being promoted and completed. A node that restarts has lost its counts, so its block stays recorded until the rollout ends.

Test: TestLeaderLearnsWhichNodesBlockAVersion, TestVersionThatANodeBlocksIsNotCompleted.

--- a/pkg/canary/decide_test.go
+++ b/pkg/canary/decide_test.go
@@ -251,6 +251,23 @@
 	g.Expect(Decision{Share: 1}.Targets(12)).To(BeZero())
 }
 
+// Guards against completing a version that some nodes have stopped using on their own counts, of which
+// the counts of all nodes together show nothing.
+func TestVersionThatANodeBlocksIsNotCompleted(t *testing.T) {
+	g := NewWithT(t)
+	p := Progress{
+		LeaderTime: time.Minute, Elapsed: 6 * time.Second, Duration: 16 * time.Second, Share: 0.1, Rate: 20, Requests: 100, Exposed: 10,
+		HasTargets: true, FailurePValue: 1, LatencyPValue: 1, BlockingNodes: 1,
+	}
+	g.Expect(Decide(p, bounds).RollBack).To(BeFalse(), "one node may see one faulty target")
+	p.BlockingNodes = 2
+	g.Expect(Decide(p, bounds).RollBack).To(BeTrue())
+	p.BlockingNodes, p.Elapsed, p.Requests = 1, 14*time.Second, 260
+	g.Expect(Decide(p, bounds).RollBack).To(BeTrue(), "instead of the promotion")
+	p.Share, p.ShareAge = 1, settleTime
+	g.Expect(Decide(p, bounds).RollBack).To(BeTrue(), "instead of completion")
+}
+
 // Guards against a new leader that, before it has received the counts of the other nodes,
 // promotes a bad version or reports it complete.
 func TestNewLeaderWaitsForEvidence(t *testing.T) {
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -131,6 +131,24 @@
 	c.rollouts.reports[reportKey{node, fetch.Incarnation}] = rows
 }
 
+// orderReports returns the node's view of the open rollouts, to be reported to the leader.
+func (c *controller) orderReports(now time.Time) []message.OrderReport {
+	var reports []message.OrderReport
+	for id, t := range c.rollouts.tracked {
+		reports = append(reports, message.OrderReport{Order: id, ElapsedMs: int(t.elapsed(now).Milliseconds()), Blocked: t.blocked})
+	}
+	return reports
+}
+
+// recordOrders stores which versions another node blocks.
+func (c *controller) recordOrders(node string, orders []message.OrderReport) {
+	for _, order := range orders {
+		if order.Blocked {
+			c.rollouts.block(order.Order, node)
+		}
+	}
+}
+
 // block records that a node blocks the version of an order. A node that restarts has lost its
 // counts, not the evidence, so the record stays.
 func (r *rolloutState) block(order uint64, node string) {
--- /dev/null
+++ b/pkg/edge/rollouts_test.go
@@ -0,0 +1,39 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fireflychute/fireflychute/pkg/catalog"
+	"github.com/fireflychute/fireflychute/pkg/message"
+	"github.com/fireflychute/fireflychute/pkg/topology"
+)
+
+// openOrder returns a controller with one rollout in progress.
+func openOrder() (*controller, topology.Order) {
+	c := testController("n1")
+	order := topology.Order{
+		Rollout: catalog.Rollout{Service: "s", Version: "v2", Duration: 10 * time.Second, State: catalog.RolloutInProgress}, Name: "s", ID: 7,
+	}
+	c.view.orders = map[string]topology.Order{"s": order}
+	return c, order
+}
+
+// Guards against a leader that reports a version complete which other nodes have stopped using on their own
+// counts: they would send requests to it again.
+func TestLeaderLearnsWhichNodesBlockAVersion(t *testing.T) {
+	g := NewWithT(t)
+	c, order := openOrder()
+	now := time.Now()
+	tracked := c.track(now, order)
+	c.recordOrders("n2", []message.OrderReport{{Order: 7, Blocked: true}})
+	c.recordOrders("n2", []message.OrderReport{{Order: 7}}) // n2 has restarted
+	c.recordOrders("n3", []message.OrderReport{{Order: 7, Blocked: true}})
+	g.Expect(c.progress(now, tracked, order, nil).BlockingNodes).To(Equal(2))
+	g.Expect(c.orderReports(now)).To(ConsistOf(message.OrderReport{Order: 7}), "the node's own view")
+	c.view.orders = nil
+	c.updateRollouts(t.Context(), now)
+	g.Expect(c.rollouts.blocking).To(BeEmpty(), "the record ends with the rollout")
+}
--- a/pkg/edge/sync.go
+++ b/pkg/edge/sync.go
@@ -159,7 +159,8 @@
 
 func (c *controller) newFetch() *message.ReplicaFetch {
 	fetch := &message.ReplicaFetch{
-		Incarnation: uint64(c.self.Incarnation), WaitMs: int(fetchWait.Milliseconds()), Counts: c.localCounts(),
+		Incarnation: uint64(c.self.Incarnation), WaitMs: int(fetchWait.Milliseconds()),
+		Counts: c.localCounts(), Orders: c.orderReports(time.Now()),
 	}
 	for _, kind := range replica.Kinds() {
 		fetch.Have = append(fetch.Have, message.ReplicaRevision{Known: c.replica.IsLoaded(kind), AsOf: c.replica.AsOf(kind)})
@@ -260,6 +261,7 @@
 	defer timer.Stop()
 	c.do(ctx, func() {
 		c.recordReport(from, fetch)
+		c.recordOrders(from, fetch.Orders)
 		c.mergeLimits(from, fetch.Limits)
 	})
 	for {
--- a/pkg/message/codec_gen.go
+++ b/pkg/message/codec_gen.go
@@ -2287,6 +2287,80 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z OrderReport) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "blocked"
+	o = append(o, 0x83, 0xa7, 0x62, 0x6c, 0x6f, 0x63, 0x6b, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Blocked)
+	// string "elapsedMs"
+	o = append(o, 0xa9, 0x65, 0x6c, 0x61, 0x70, 0x73, 0x65, 0x64, 0x4d, 0x73)
+	o = msgp.AppendInt(o, z.ElapsedMs)
+	// string "order"
+	o = append(o, 0xa5, 0x6f, 0x72, 0x64, 0x65, 0x72)
+	o = msgp.AppendUint64(o, z.Order)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *OrderReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "blocked":
+			z.Blocked, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Blocked")
+				return
+			}
+		case "elapsedMs":
+			z.ElapsedMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ElapsedMs")
+				return
+			}
+		case "order":
+			z.Order, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Order")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z OrderReport) Msgsize() (s int) {
+	s = 1 + 8 + msgp.BoolSize + 10 + msgp.IntSize + 6 + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Ping) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -2983,9 +3057,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ReplicaFetch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "counts"
-	o = append(o, 0x86, 0xa6, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
+	o = append(o, 0x87, 0xa6, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Counts)))
 	for za0001 := range z.Counts {
 		o, err = z.Counts[za0001].MarshalMsg(o)
@@ -3022,6 +3096,21 @@
 	// string "limitsSeen"
 	o = append(o, 0xaa, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x73, 0x53, 0x65, 0x65, 0x6e)
 	o = msgp.AppendUint64(o, z.LimitsSeen)
+	// string "orders"
+	o = append(o, 0xa6, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Orders)))
+	for za0004 := range z.Orders {
+		// map header, size 3
+		// string "blocked"
+		o = append(o, 0x83, 0xa7, 0x62, 0x6c, 0x6f, 0x63, 0x6b, 0x65, 0x64)
+		o = msgp.AppendBool(o, z.Orders[za0004].Blocked)
+		// string "elapsedMs"
+		o = append(o, 0xa9, 0x65, 0x6c, 0x61, 0x70, 0x73, 0x65, 0x64, 0x4d, 0x73)
+		o = msgp.AppendInt(o, z.Orders[za0004].ElapsedMs)
+		// string "order"
+		o = append(o, 0xa5, 0x6f, 0x72, 0x64, 0x65, 0x72)
+		o = msgp.AppendUint64(o, z.Orders[za0004].Order)
+	}
 	// string "waitMs"
 	o = append(o, 0xa6, 0x77, 0x61, 0x69, 0x74, 0x4d, 0x73)
 	o = msgp.AppendInt(o, z.WaitMs)
@@ -3164,6 +3253,68 @@
 				err = msgp.WrapError(err, "LimitsSeen")
 				return
 			}
+		case "orders":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Orders")
+				return
+			}
+			if zb0006 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Orders) >= int(zb0006) {
+				z.Orders = (z.Orders)[:zb0006]
+			} else {
+				z.Orders = make([]OrderReport, zb0006)
+			}
+			for za0004 := range z.Orders {
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Orders", za0004)
+					return
+				}
+				if zb0007 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0007 > 0 {
+					zb0007--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Orders", za0004)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "blocked":
+						z.Orders[za0004].Blocked, bts, err = msgp.ReadBoolBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Orders", za0004, "Blocked")
+							return
+						}
+					case "elapsedMs":
+						z.Orders[za0004].ElapsedMs, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Orders", za0004, "ElapsedMs")
+							return
+						}
+					case "order":
+						z.Orders[za0004].Order, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Orders", za0004, "Order")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Orders", za0004)
+							return
+						}
+					}
+				}
+			}
 		case "waitMs":
 			z.WaitMs, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -3192,7 +3343,7 @@
 	for za0003 := range z.Limits {
 		s += z.Limits[za0003].Msgsize()
 	}
-	s += 11 + msgp.Uint64Size + 7 + msgp.IntSize
+	s += 11 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize + (len(z.Orders) * (25 + msgp.BoolSize + msgp.IntSize + msgp.Uint64Size)) + 7 + msgp.IntSize
 	return
 }
 
--- a/pkg/message/types_gen.go
+++ b/pkg/message/types_gen.go
@@ -248,6 +248,18 @@
 	Sequence uint64 `msg:"sequence"`
 }
 
+// A node's view of one rollout in progress.
+type OrderReport struct {
+	// The node sends the new version no requests, on its own counts.
+	Blocked bool `msg:"blocked"`
+
+	// Time since the order as the node knows it, in milliseconds.
+	ElapsedMs int `msg:"elapsedMs"`
+
+	// Id of the rollout order.
+	Order uint64 `msg:"order"`
+}
+
 // Probes whether a node responds.
 type Ping struct {
 	// Gossip corresponds to the JSON schema field "gossip".
@@ -356,6 +368,9 @@
 	// limitsAsOf of the last reply, 0 if there was none.
 	LimitsSeen uint64 `msg:"limitsSeen"`
 
+	// The sender's view of the rollouts in progress.
+	Orders []OrderReport `msg:"orders"`
+
 	// Maximum time for which the reply may be delayed until a change, in
 	// milliseconds.
 	WaitMs int `msg:"waitMs"`
