Keep the age of a rollout over the restart of its leader

What operators saw: a good version that was not complete by its deadline after its leader had been killed.

Cause: a node that starts counts the time since an order from the last stored step on. The step may be seconds old, and a restarted first node leads again, so the rollout was taken for younger than it is.

Change: nodes report the age of the open orders with each fetch; a node that knows an order for less long adopts it.

Test: TestRestartedNodeAdoptsTheElapsedTimeOfARollout, which cannot compile before.

--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -37,6 +37,10 @@
 	tracked map[uint64]*trackedRollout
 }
 
+// maxClockLag is by how much the elapsed time of a rollout may differ between nodes without being
+// corrected.
+const maxClockLag = 300 * time.Millisecond
+
 type reportKey struct {
 	node        string
 	incarnation uint64
@@ -140,12 +144,17 @@
 	return reports
 }
 
-// recordOrders stores which versions another node blocks.
-func (c *controller) recordOrders(node string, orders []message.OrderReport) {
+// recordOrders stores which versions another node blocks, and corrects the elapsed time of
+// rollouts that this node has known for less long than the other one.
+func (c *controller) recordOrders(now time.Time, node string, orders []message.OrderReport) {
 	for _, order := range orders {
 		if order.Blocked {
 			c.rollouts.block(order.Order, node)
 		}
+		t := c.rollouts.tracked[order.Order]
+		if t != nil {
+			t.adoptElapsed(now, time.Duration(order.ElapsedMs)*time.Millisecond)
+		}
 	}
 }
 
@@ -208,6 +217,13 @@
 	return t.storedElapsed + now.Sub(t.storedElapsedAt)
 }
 
+// adoptElapsed corrects the elapsed time if another node has known the order for longer.
+func (t *trackedRollout) adoptElapsed(now time.Time, elapsed time.Duration) {
+	if elapsed > t.elapsed(now)+maxClockLag {
+		t.storedElapsed, t.storedElapsedAt = elapsed, now
+	}
+}
+
 // blockLocally stops sending requests to a canary version on the node's own evidence.
 func (c *controller) blockLocally(now time.Time, t *trackedRollout, order topology.Order, local map[canary.Key]canary.Counts) {
 	if t.blocked {
--- a/pkg/edge/rollouts_test.go
+++ b/pkg/edge/rollouts_test.go
@@ -28,12 +28,25 @@
 	c, order := openOrder()
 	now := time.Now()
 	tracked := c.track(now, order)
-	c.recordOrders("n2", []message.OrderReport{{Order: 7, Blocked: true}})
-	c.recordOrders("n2", []message.OrderReport{{Order: 7}}) // n2 has restarted
-	c.recordOrders("n3", []message.OrderReport{{Order: 7, Blocked: true}})
+	c.recordOrders(now, "n2", []message.OrderReport{{Order: 7, Blocked: true}})
+	c.recordOrders(now, "n2", []message.OrderReport{{Order: 7}}) // n2 has restarted
+	c.recordOrders(now, "n3", []message.OrderReport{{Order: 7, Blocked: true}})
 	g.Expect(c.progress(now, tracked, order, nil).BlockingNodes).To(Equal(2))
 	g.Expect(c.orderReports(now)).To(ConsistOf(message.OrderReport{Order: 7}), "the node's own view")
 	c.view.orders = nil
 	c.updateRollouts(t.Context(), now)
 	g.Expect(c.rollouts.blocking).To(BeEmpty(), "the record ends with the rollout")
 }
+
+// Guards against a restarted leader that takes a rollout for younger than it is, promotes it too late and misses
+// its deadline.
+func TestRestartedNodeAdoptsTheElapsedTimeOfARollout(t *testing.T) {
+	g := NewWithT(t)
+	c, order := openOrder()
+	now := time.Now()
+	tracked := c.track(now, order)
+	c.recordOrders(now, "n2", []message.OrderReport{{Order: 7, ElapsedMs: 5000}})
+	g.Expect(tracked.elapsed(now)).To(Equal(5 * time.Second))
+	c.recordOrders(now, "n3", []message.OrderReport{{Order: 7, ElapsedMs: 4000}})
+	g.Expect(tracked.elapsed(now.Add(time.Second))).To(Equal(6*time.Second), "a node that knows the order for less long changes nothing")
+}
--- a/pkg/edge/sync.go
+++ b/pkg/edge/sync.go
@@ -261,7 +261,7 @@
 	defer timer.Stop()
 	c.do(ctx, func() {
 		c.recordReport(from, fetch)
-		c.recordOrders(from, fetch.Orders)
+		c.recordOrders(time.Now(), from, fetch.Orders)
 		c.mergeLimits(from, fetch.Limits)
 	})
 	for {
