Promote a version late enough for the bound and early enough for its operators

Cause: three in the plan's figures. The requests until the deadline are a random number, of which the plan took the mean. A node that takes over receives the counts of all others in one period and took them for the request rate (137 a second at 27), so it planned a late completion.

Change: the plan reckons with 1.5 standard deviations more requests than expected; a version is promoted 4 s before the deadline at the earliest; the rate is the median of five periods, none of which lies in the first two seconds of a leader; a share is kept for 1.5 s; the steps to all requests and to none do not wait for the interval between writes; completion is reported 0.7 s before the deadline.

Tests: TestCountsThatArriveAtOnceAreNoRequestRate; the bounds of TestGoodVersionCompletesInTimeWithinTheExposure follow the plan's reserve. The evidence of the analysis is in the log line of each step.

--- a/pkg/canary/decide.go
+++ b/pkg/canary/decide.go
@@ -31,7 +31,7 @@
 	// Requests counts the service's requests since the order, Exposed those of them that went
 	// to the new version.
 	Requests, Exposed int
-	// Rate is the service's current request rate, in requests per second.
+	// Rate is the service's current request rate, in requests per second, 0 while unknown.
 	Rate float64
 	// Bad reports whether the new version was found to be bad.
 	Bad bool
--- a/pkg/canary/decide_test.go
+++ b/pkg/canary/decide_test.go
@@ -87,7 +87,7 @@
 			g.Expect(out.fullShareTime).To(BeNumerically(">=", stepPropagationTime+maxDrainTime))
 			fullShare := stepPropagationTime + maxDrainTime + reportMargin
 			allowed := usableExposureFraction * (bounds.Share*rate*duration.Seconds() + bounds.Slack)
-			if rate*fullShare.Seconds()+reserved <= allowed {
+			if upperCount(rate*fullShare.Seconds())+reserved <= allowed {
 				g.Expect(out.endedAt).To(BeNumerically("<", duration), "rate %v, duration %v", rate, duration)
 			} else {
 				g.Expect(out.late).To(BeTrue(), "rate %v, duration %v", rate, duration)
@@ -141,7 +141,7 @@
 	p := Progress{LeaderTime: time.Minute, Elapsed: 1500 * time.Millisecond, Duration: 13 * time.Second, Rate: 20, Requests: 21, HasTargets: true, FailurePValue: 1, LatencyPValue: 1}
 	p.Share = Decide(p, bounds).Share
 	g.Expect(p.Share).To(Equal(initialShare), "the rate is not known yet")
-	p.Elapsed, p.Requests = 2100*time.Millisecond, 22
+	p.Elapsed, p.Requests, p.ShareAge = 2100*time.Millisecond, 22, minShareAge
 	p.Share = Decide(p, bounds).Share
 	g.Expect(p.Share).To(BeNumerically(">", 0.1))
 	p.Elapsed, p.Rate, p.Requests, p.Exposed = 2500*time.Millisecond, 120, 140, 5
@@ -197,7 +197,7 @@
 	p := Progress{LeaderTime: time.Minute, Duration: 16 * time.Second, Share: 0.05, Rate: 20, HasTargets: true, FailurePValue: 1, LatencyPValue: 0.01}
 	p.Elapsed, p.Requests, p.Exposed = 7*time.Second, 120, 6
 	g.Expect(Decide(p, bounds).RollBack).To(BeFalse(), "the canary stage continues and the p-value may rise again")
-	p.Elapsed, p.Requests, p.Exposed = 13*time.Second, 240, 12
+	p.Elapsed, p.Requests, p.Exposed = 13500*time.Millisecond, 250, 10
 	g.Expect(Decide(p, bounds).RollBack).To(BeTrue())
 	p.LatencyPValue = 0.1
 	g.Expect(Decide(p, bounds)).To(Equal(Decision{Share: 1}))
@@ -214,10 +214,10 @@
 		}
 		plan := newSchedule(p, bounds)
 		allowed := allowedExposure(p, bounds)
-		promotion := rate * (p.Duration - plan.canaryEnd).Seconds()
+		promotion := upperCount(rate * (p.Duration - plan.canaryEnd).Seconds())
 		g.Expect(plan.canaryBudget).To(BeNumerically(">=", leastCanaryRequests), "rate %v", rate)
 		if plan.late {
-			g.Expect(allowed).To(BeNumerically("<", leastCanaryRequests+rate*p.promotionTime(p.OldP90Latency).Seconds()), "rate %v", rate)
+			g.Expect(allowed).To(BeNumerically("<", leastCanaryRequests+upperCount(rate*p.promotionTime(p.OldP90Latency).Seconds())), "rate %v", rate)
 			continue
 		}
 		g.Expect(plan.canaryBudget+promotion).To(BeNumerically("<=", allowed), "rate %v", rate)
--- a/pkg/canary/exposure_test.go
+++ b/pkg/canary/exposure_test.go
@@ -121,9 +121,9 @@
 		for _, rate := range testedRates {
 			duration := seconds * time.Second
 			allowed := bounds.Share*rate*duration.Seconds() + bounds.Slack
-			const promotionTime = 1200 * time.Millisecond
+			const promotionTime = 1500 * time.Millisecond
 			const neededReserve, neededCanary = 0.1, 15
-			if rate*promotionTime.Seconds()+neededCanary > (1-neededReserve)*allowed {
+			if upperCount(rate*promotionTime.Seconds())+neededCanary > (1-neededReserve)*allowed {
 				continue
 			}
 			g := NewWithT(t)
--- a/pkg/canary/schedule.go
+++ b/pkg/canary/schedule.go
@@ -1,6 +1,9 @@
 package canary
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // The exposure bound limits how many requests all nodes together may send to the new version until
 // the deadline. It holds without any evidence against the version: the requests that remain
@@ -31,8 +34,13 @@
 	// its load with all requests, as in a burst.
 	loadFactor = 2.0
 	// promotionFraction is the part of the rollout's time before which no version is promoted,
-	// so that faults that develop slowly can show.
+	// so that faults that develop slowly can show, and maxPromotionTime the longest time before
+	// the deadline.
 	promotionFraction = 0.64
+	maxPromotionTime  = 4 * time.Second
+	// countDeviations is by how many standard deviations the number of requests until the deadline may
+	// exceed the expected one. It matters where the requests are few.
+	countDeviations = 1.5
 	// minChangeFactor is the factor by which a new share must differ from the current one to
 	// replace it.
 	minChangeFactor = 1.3
@@ -41,16 +49,16 @@
 	rateKnownAfter = 2 * time.Second
 	// orderPropagationTime is how long the nodes take to receive the order.
 	orderPropagationTime = time.Second
-	// canaryFreezeTime is the time before the end of the canary stage in which its share is not
-	// changed, because a change would delay the step that follows.
-	canaryFreezeTime = time.Second
+	// minShareAge is how long a share of the canary stage is kept, unless its budget is used up.
+	minShareAge = 1500 * time.Millisecond
 	// stepPropagationTime is how long all nodes take to receive a step.
 	stepPropagationTime = 200 * time.Millisecond
 	// maxDrainTime is the longest time for which requests that run on the old targets are waited
 	// for. It also applies while their latency is unknown.
 	maxDrainTime = 900 * time.Millisecond
-	// reportMargin is the time before the deadline at which completion is reported.
-	reportMargin = 400 * time.Millisecond
+	// reportMargin is the time before the deadline at which completion is reported. Operators see the
+	// status some time after it was written.
+	reportMargin = 700 * time.Millisecond
 	// leaderSlack is how much earlier than necessary a version is promoted if the bound allows it.
 	leaderSlack = 300 * time.Millisecond
 	// countDelay is how long it takes until a request that was sent is in the leader's counts.
@@ -67,7 +75,7 @@
 // allowedExposure returns how many requests the version may get over the whole rollout, less
 // a reserve.
 func allowedExposure(p Progress, bounds ExposureBounds) float64 {
-	total := float64(p.Requests) + p.Rate*max(0, p.Duration-p.Elapsed).Seconds()
+	total := float64(p.Requests) + p.currentRate()*max(0, p.Duration-p.Elapsed).Seconds()
 	return usableExposureFraction * (bounds.Share*total + bounds.Slack)
 }
 
@@ -87,12 +95,12 @@
 	rate := p.planningRate()
 	most := max(canaryExposureFraction*allowed, min(minCanaryRequests, allowed))
 	preferred := p.promotionTime(p.OldTailLatency) + leaderSlack
-	budget := allowed - rate*preferred.Seconds()
+	budget := allowed - upperCount(rate*preferred.Seconds())
 	if budget >= minCanaryRequests {
 		return schedule{canaryEnd: p.Duration - preferred, canaryBudget: min(budget, most)}
 	}
 	shortest := p.promotionTime(p.OldP90Latency)
-	budget = allowed - rate*shortest.Seconds()
+	budget = allowed - upperCount(rate*shortest.Seconds())
 	if budget >= leastCanaryRequests {
 		return schedule{canaryEnd: p.Duration - shortest, canaryBudget: min(budget, minCanaryRequests)}
 	}
@@ -102,7 +110,7 @@
 // canaryShare returns the share in the canary stage. It is lowered when the request rate turns out
 // higher than the share was computed for, and zero once the stage has used its budget.
 func (s schedule) canaryShare(p Progress, bounds ExposureBounds) float64 {
-	if p.Elapsed < rateKnownAfter || p.Rate == 0 {
+	if p.Elapsed < rateKnownAfter || p.Requests == 0 {
 		return max(p.Share, min(initialShare, bounds.Share/2))
 	}
 	rate := p.planningRate()
@@ -110,8 +118,7 @@
 	remaining := (s.canaryBudget - p.spent()) / (rate * max(s.canaryEnd-p.Elapsed, stepPropagationTime).Seconds())
 	share := max(0, min(maxCanaryShare, max(planned, remaining), remaining))
 	unchanged := share < minChangeFactor*p.Share && share > p.Share/minChangeFactor
-	frozen := p.Share > 0 && s.canaryEnd-p.Elapsed < canaryFreezeTime
-	if share > 0 && (unchanged || frozen) {
+	if share > 0 && p.Share > 0 && (unchanged || p.ShareAge < minShareAge) {
 		return p.Share
 	}
 	return share
@@ -123,26 +130,40 @@
 	if p.Elapsed >= p.Duration {
 		return true
 	}
-	if p.Elapsed < scaleDuration(p.Duration, promotionFraction) || p.Requests == 0 {
+	earliest := max(scaleDuration(p.Duration, promotionFraction), p.Duration-maxPromotionTime)
+	if p.Elapsed < earliest || p.Requests == 0 {
 		return false
 	}
 	remaining := p.planningRate() * (p.Duration - p.Elapsed).Seconds()
-	return p.spent()+remaining <= allowedExposure(*p, bounds)
+	return p.spent()+upperCount(remaining) <= allowedExposure(*p, bounds)
 }
 
+// upperCount returns a bound for a number of requests of which as many as expected come on average.
+func upperCount(expected float64) float64 { return expected + countDeviations*math.Sqrt(expected) }
+
 // spent returns how many requests the version has got, including those that are not counted yet.
 func (p *Progress) spent() float64 {
 	uncounted := min(p.ShareAge, countDelay).Seconds()
 	return float64(p.Exposed) + p.planningRate()*p.Share*uncounted
 }
 
-// planningRate returns the higher of the current and the mean request rate since all nodes
-// received the order. The mean varies less, so that a brief lull does not promote a version early.
-func (p *Progress) planningRate() float64 {
-	mean := float64(p.Requests) / max((p.Elapsed-orderPropagationTime).Seconds(), 1)
-	return max(p.Rate, mean)
+// meanRate returns the mean request rate since all nodes received the order.
+func (p *Progress) meanRate() float64 {
+	return float64(p.Requests) / max((p.Elapsed-orderPropagationTime).Seconds(), 1)
+}
+
+// currentRate returns the current request rate, or the mean one while the current one is unknown.
+func (p *Progress) currentRate() float64 {
+	if p.Rate == 0 {
+		return p.meanRate()
+	}
+	return p.Rate
 }
 
+// planningRate returns the higher of the current and the mean request rate. The mean varies less, so
+// that a brief lull does not promote a version early.
+func (p *Progress) planningRate() float64 { return max(p.Rate, p.meanRate()) }
+
 // promotionTime returns how long before the deadline a version must be promoted so that it is
 // reported complete in time after requests of the given latency have ended on the old targets.
 func (p *Progress) promotionTime(latency time.Duration) time.Duration {
--- a/pkg/edge/advance.go
+++ b/pkg/edge/advance.go
@@ -69,7 +69,7 @@
 
 // logLate logs once that the exposure bound leaves no time to complete a rollout before its deadline.
 func (c *controller) logLate(t *trackedRollout, order topology.Order, progress canary.Progress, decision canary.Decision) {
-	if decision.Late == t.late || progress.Requests == 0 {
+	if decision.Late == t.late || progress.Rate == 0 {
 		return
 	}
 	t.late = decision.Late
@@ -102,7 +102,8 @@
 	current, exists := c.view.steps[order.Service]
 	same := exists && order.Owns(current) && current.Failed == step.Failed &&
 		current.Targets == step.Targets && math.Abs(current.Share-step.Share) < minShareChange
-	if same || t.stepWrite.inFlight || now.Before(t.stepWrite.notBefore) {
+	isUrgent := (step.Share >= 1 || step.Failed) && t.stepWrite.failures == 0
+	if same || t.stepWrite.inFlight || now.Before(t.stepWrite.notBefore) && !isUrgent {
 		return
 	}
 	step.Service, step.Version, step.Order = order.Service, order.Version, order.ID
@@ -113,9 +114,11 @@
 		return
 	}
 	object, stored := c.replica.Object(replica.Steps, order.Service)
+	_, evidence := t.verdict()
 	c.log.Info().Str("service", order.Service).Str("version", order.Version).Float64("share", step.Share).Int("targets", step.Targets).Bool("failed", step.Failed).
 		Dur("elapsed", step.Elapsed).Int("requests", progress.Requests).Int("exposed", progress.Exposed).Float64("rate", progress.Rate).
 		Int("blockingNodes", progress.BlockingNodes).Float64("failurePValue", progress.FailurePValue).Float64("latencyPValue", progress.LatencyPValue).
+		Interface("evidence", evidence).
 		Msg("writing rollout step")
 	c.write(ctx, &t.stepWrite, replica.Steps, func(ctx context.Context) (replica.Object, error) {
 		if stored {
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
@@ -52,9 +53,13 @@
 	judge  *judge.Judge
 	routes map[string]bool
 	// pValues is the judge's result at the last analysis.
-	pValues       judge.PValues
-	analysedAt    time.Time
-	lastCounts    map[canary.Key]canary.Counts
+	pValues    judge.PValues
+	analysedAt time.Time
+	lastCounts map[canary.Key]canary.Counts
+	// trackedSince is when this node first knew the order.
+	trackedSince time.Time
+	// rates holds the request rates of the last analyses, requestRate is their median.
+	rates         []float64
 	requestRate   float64
 	totalRequests uint64
 	bad           bool
@@ -195,7 +200,7 @@
 func (c *controller) track(now time.Time, order topology.Order) *trackedRollout {
 	t := c.rollouts.tracked[order.ID]
 	if t == nil {
-		t = &trackedRollout{storedElapsedAt: now, shareSince: now, analysedAt: now, lastCounts: map[canary.Key]canary.Counts{}, pValues: judge.NeutralPValues}
+		t = &trackedRollout{trackedSince: now, storedElapsedAt: now, shareSince: now, analysedAt: now, lastCounts: map[canary.Key]canary.Counts{}, pValues: judge.NeutralPValues}
 		c.rollouts.tracked[order.ID] = t
 		c.log.Info().Str("service", order.Service).Str("version", order.Version).Dur("duration", order.Duration).
 			Uint64("order", order.ID).Msg("new rollout order")
@@ -275,7 +280,9 @@
 		}
 	}
 	t.observe(sums, total)
-	t.updateRate(float64(total-min(total, t.totalRequests)) / period.Seconds())
+	if now.Sub(t.trackedSince) >= countsGatheringTime && now.Sub(c.rollouts.leaderSince) >= countsGatheringTime {
+		t.updateRate(float64(total-min(total, t.totalRequests)) / period.Seconds())
+	}
 	t.totalRequests, t.lastCounts = total, sums
 	bad, evidence := t.verdict()
 	if (bad || overLimit) && !t.bad {
@@ -284,17 +291,22 @@
 	}
 }
 
-// rateSmoothing is the weight of the last period in the moving average of a service's
-// request rate.
-const rateSmoothing = 0.4
+const (
+	// rateSamples is how many analyses the request rate of a service is estimated from.
+	rateSamples = 5
+	// countsGatheringTime is how long the counts of all nodes take to arrive at a node that has started or
+	// has become the leader. They are no request rate.
+	countsGatheringTime = 2 * time.Second
+)
 
-// updateRate updates the moving average with the rate of the last period.
+// updateRate estimates the rate as the median of the last periods.
 func (t *trackedRollout) updateRate(rate float64) {
-	if t.requestRate == 0 {
-		t.requestRate = rate
-		return
+	t.rates = append(t.rates, rate)
+	if len(t.rates) > rateSamples {
+		t.rates = t.rates[1:]
 	}
-	t.requestRate += rateSmoothing * (rate - t.requestRate)
+	sorted := slices.Sorted(slices.Values(t.rates))
+	t.requestRate = sorted[len(sorted)/2]
 }
 
 const (
--- a/pkg/edge/rollouts_test.go
+++ b/pkg/edge/rollouts_test.go
@@ -50,3 +50,18 @@
 	c.recordOrders(now, "n3", []message.OrderReport{{Order: 7, ElapsedMs: 4000}})
 	g.Expect(tracked.elapsed(now.Add(time.Second))).To(Equal(6*time.Second), "a node that knows the order for less long changes nothing")
 }
+
+// Guards against a new leader that takes the counts of all other nodes, which arrive at once, for a high request
+// rate, and therefore does not promote a good version before the deadline.
+func TestCountsThatArriveAtOnceAreNoRequestRate(t *testing.T) {
+	g := NewWithT(t)
+	var tracked trackedRollout
+	for _, rate := range []float64{3, 146, 27, 31} {
+		tracked.updateRate(rate)
+	}
+	g.Expect(tracked.requestRate).To(BeNumerically("<=", 31))
+	for range rateSamples {
+		tracked.updateRate(60)
+	}
+	g.Expect(tracked.requestRate).To(Equal(60.0), "a rate that has changed for good")
+}
--- a/tools/rolloutdays/main.go
+++ b/tools/rolloutdays/main.go
@@ -48,12 +48,17 @@
 	flag.Uint64Var(&o.from, "from", 1, "first seed")
 	flag.IntVar(&o.days, "days", 40, "number of days")
 	flag.IntVar(&o.jobs, "jobs", 4, "days played at a time")
+	onlyPrint := flag.Bool("print", false, "print the day of the first seed and play none")
 	flag.Parse()
 	services, err := readServices(o.site)
 	if err != nil || len(services) == 0 {
 		fmt.Fprintln(os.Stderr, "rolloutdays: no services in the site file:", err)
 		os.Exit(2)
 	}
+	if *onlyPrint {
+		fmt.Print(drawDay(o.from, services, o.good).text())
+		return
+	}
 	results := playAll(o, services)
 	for i := range results {
 		printResult(&results[i])
