Find slow versions by hedged attempts and on routes with most of the requests

Cause: three. Slow attempts of idempotent requests are overtaken by a hedge and were counted with the time until then, which is near the usual latency. The p-value was divided evenly over all routes, four of which had a few requests each. And once the version had all requests, its latency was not looked at.

Change: an overtaken attempt counts with twice its time; half of the error rate belongs to the sum over the routes and the rest is divided by the square root of their requests; with all requests, a p-value of the latency of 1e-4 rolls a version back. At that level an overload alone does not: the test that moderate evidence of latency completes a version stays, with a p-value of 0.002 in place of 0, and has the new bound beside it.

--- a/pkg/canary/decide.go
+++ b/pkg/canary/decide.go
@@ -20,6 +20,11 @@
 // evidence is needed than for a verdict.
 const SignificanceLevel = 0.02
 
+// fullShareLatencyLevel is the p-value of latencies at or below which a version that has all requests
+// is rolled back. The old version is not measured at the same time then, and an overload would
+// slow it as well, so much more evidence is needed.
+const fullShareLatencyLevel = 1e-4
+
 // Progress describes the state of a rollout and what was measured since its order.
 type Progress struct {
 	Elapsed, Duration time.Duration
@@ -79,7 +84,7 @@
 
 // decideFullShare decides whether a version that has all requests is complete or rolled back.
 func decideFullShare(p Progress) Decision {
-	if p.BlockingNodes > 0 || p.FailurePValue <= SignificanceLevel {
+	if p.BlockingNodes > 0 || p.FailurePValue <= SignificanceLevel || p.LatencyPValue <= fullShareLatencyLevel {
 		return Decision{RollBack: true}
 	}
 	settled := p.ShareAge >= settleTime || p.Elapsed >= p.Duration-reportMargin && p.ShareAge >= p.minFullShareTime()
--- a/pkg/canary/decide_test.go
+++ b/pkg/canary/decide_test.go
@@ -231,8 +231,10 @@
 	g := NewWithT(t)
 	p := Progress{LeaderTime: time.Minute, Elapsed: 13 * time.Second, Duration: 16 * time.Second, Share: 1, ShareAge: settleTime, Rate: 20, HasTargets: true, FailurePValue: 0.001, LatencyPValue: 1}
 	g.Expect(Decide(p, bounds).RollBack).To(BeTrue())
-	p.FailurePValue, p.LatencyPValue = 1, 0
-	g.Expect(Decide(p, bounds).Complete).To(BeTrue(), "an overload slows every version, so latency alone does not roll it back")
+	p.FailurePValue, p.LatencyPValue = 1, SignificanceLevel/10
+	g.Expect(Decide(p, bounds).Complete).To(BeTrue(), "an overload slows every version, so moderate evidence of latency does not roll it back")
+	p.LatencyPValue = fullShareLatencyLevel
+	g.Expect(Decide(p, bounds).RollBack).To(BeTrue())
 }
 
 // Guards against a small share that is spread so thin that no target is under load.
--- a/pkg/canary/outcomes.go
+++ b/pkg/canary/outcomes.go
@@ -36,8 +36,8 @@
 type Counts struct {
 	Requests, Failures uint64
 	// Latencies counts responses of warm targets by latency bucket. Attempts still running well
-	// past the route's usual latency and attempts overtaken by a hedge are counted with the time
-	// elapsed until then. Attempts whose client disconnected are left out, since they do
+	// past the route's usual latency are counted with the time elapsed until then, attempts overtaken
+	// by a hedge with an estimate. Attempts whose client disconnected are left out, since they do
 	// not show the version's latency.
 	Latencies [bucketCount]uint64
 }
@@ -113,10 +113,23 @@
 	}
 	measured := attempt.Status != 0 || attempt.Superseded || attempt.Slow
 	if measured && !attempt.Load.Cold && attempt.Latency > 0 {
-		row.Latencies[bucketOf(attempt.Latency)]++
+		row.Latencies[bucketOf(expectedLatency(attempt))]++
 	}
 }
 
+// overtakenFactor is the latency of an attempt that a hedge overtook, as a multiple of the time that it
+// had taken until then: requests that are late already take about as long again.
+const overtakenFactor = 2
+
+// expectedLatency returns the latency of an attempt, or an estimate of it for an attempt that was
+// given up.
+func expectedLatency(attempt *forward.Attempt) time.Duration {
+	if attempt.Superseded {
+		return overtakenFactor * attempt.Latency
+	}
+	return attempt.Latency
+}
+
 // Rows returns a copy of the counts of the given orders and drops the counts of all others.
 func (o *Outcomes) Rows(orders map[uint64]bool) map[Key]Counts {
 	o.mu.Lock()
--- a/pkg/judge/judge.go
+++ b/pkg/judge/judge.go
@@ -1,6 +1,7 @@
 package judge
 
 import (
+	"math"
 	"sort"
 
 	"github.com/fireflychute/fireflychute/pkg/api"
@@ -160,16 +161,23 @@
 }
 
 // minPValue returns the smallest p-value of the routes and of their sum, corrected for the
-// number of routes and of tests that are read together.
+// number of tests that are read together. Half of the error rate belongs to the sum; the routes divide the
+// other half by the square root of the new version's requests, since a route with few of them can
+// hardly show anything.
 func minPValue(routes []eventCounts, margin float64, tests int) float64 {
 	var all eventCounts
-	lowest := 1.0
+	weights := 0.0
 	for _, e := range routes {
 		all.add(e)
-		lowest = min(lowest, e.pValue(margin))
+		weights += math.Sqrt(float64(e.newRequests))
 	}
-	lowest = min(lowest, all.pValue(margin))
-	return min(1, lowest*float64(tests*(len(routes)+1)))
+	lowest := 2 * all.pValue(margin)
+	for _, e := range routes {
+		if e.newRequests > 0 {
+			lowest = min(lowest, 2*e.pValue(margin)*weights/math.Sqrt(float64(e.newRequests)))
+		}
+	}
+	return min(1, lowest*float64(tests))
 }
 
 // Exposure returns how many requests of the new version were observed on the route that had
