Roll a version back on clear evidence, and complete it on all that there is time for

Cause: a version with a p-value of 5e-6 kept its share until the promotion was to be decided, when the figures had changed; and a service with 5 requests a second was promoted after 8 requests and completed 2.6 s later, 1.3 s before it was due.

Change: a p-value of 1e-3 for failures or 1e-4 for latency, which are read about ten times, rolls a version back at any time before the promotion. Completion waits until it is due unless the version has got 150 requests.

Test: TestClearEvidenceActsEarlyAndMissingEvidenceLate. TestVersionThatFailsWithAllRequestsIsRolledBack asks for completion when it is due; TestVersionWithoutTargetsIsRolledBackAtTheDeadline names its p-values.

--- a/pkg/canary/decide.go
+++ b/pkg/canary/decide.go
@@ -20,10 +20,18 @@
 // evidence is needed than for a verdict.
 const SignificanceLevel = 0.02
 
-// fullShareLatencyLevel is the p-value of latencies at or below which a version that has all requests
-// is rolled back. The old version is not measured at the same time then, and an overload would
-// slow it as well, so much more evidence is needed.
-const fullShareLatencyLevel = 1e-4
+// P-values at or below which a version is rolled back before its promotion is decided. They are read many
+// times, so much more evidence is needed.
+const (
+	earlyFailureLevel = 1e-3
+	// clearLatencyLevel also applies while the version has all requests. The old version is not measured at
+	// the same time then, and an overload would slow it as well.
+	clearLatencyLevel = 1e-4
+)
+
+// enoughRequests is how many requests a version must have got to be reported complete before the deadline
+// requires it: until then, more requests are worth more than the time.
+const enoughRequests = 150
 
 // Progress describes the state of a rollout and what was measured since its order.
 type Progress struct {
@@ -69,12 +77,14 @@
 // Decide returns the next step of a rollout.
 func Decide(p Progress, bounds ExposureBounds) Decision {
 	switch {
-	case p.Bad || p.BlockingNodes >= minBlockingNodes:
+	case p.Bad || p.BlockingNodes >= minBlockingNodes || p.LatencyPValue <= clearLatencyLevel:
 		return Decision{RollBack: true}
 	case p.Share >= 1:
 		return decideFullShare(p)
 	case !p.HasTargets:
 		return Decision{Share: p.Share, RollBack: p.Elapsed >= p.Duration}
+	case p.FailurePValue <= earlyFailureLevel:
+		return Decision{RollBack: true}
 	case p.mayPromote(bounds):
 		return promote(p)
 	default:
@@ -84,10 +94,11 @@
 
 // decideFullShare decides whether a version that has all requests is complete or rolled back.
 func decideFullShare(p Progress) Decision {
-	if p.BlockingNodes > 0 || p.FailurePValue <= SignificanceLevel || p.LatencyPValue <= fullShareLatencyLevel {
+	if p.BlockingNodes > 0 || p.FailurePValue <= SignificanceLevel {
 		return Decision{RollBack: true}
 	}
-	settled := p.ShareAge >= settleTime || p.Elapsed >= p.Duration-reportMargin && p.ShareAge >= p.minFullShareTime()
+	isDue := p.Elapsed >= p.Duration-reportMargin
+	settled := p.ShareAge >= settleTime && (isDue || p.Exposed >= enoughRequests) || isDue && p.ShareAge >= p.minFullShareTime()
 	return Decision{Share: 1, Complete: settled && p.LeaderTime >= takeoverTime}
 }
 
