Load a version under trial before its promotion, and complete none that is suspect

Most faults under load, 24 of 26, were not found on that site.

Cause: a small share that is spread over the second half of the canary stage does not load even a single target. And completion was due while the evidence of all requests was only arriving.

Change: six tenths of the canary budget go to a few targets within one second, shortly before the promotion is decided. The share of that second ends by itself at each node if no step ends it, so that the bound holds without a leader. A version with a p-value of at most 0.2 is not completed before it has had all requests for four seconds, if need be late.

--- a/pkg/canary/decide.go
+++ b/pkg/canary/decide.go
@@ -29,6 +29,14 @@
 	clearLatencyLevel = 1e-4
 )
 
+// While a p-value is at or below suspicionLevel, a version is not reported complete until it has had all
+// requests for maxSuspicionTime, even if it is then late: more evidence arrives fast, and completion cannot
+// be undone.
+const (
+	suspicionLevel   = 0.2
+	maxSuspicionTime = 4 * time.Second
+)
+
 // enoughRequests is how many requests a version must have got to be reported complete before the deadline
 // requires it: until then, more requests are worth more than the time.
 const enoughRequests = 150
@@ -69,6 +77,8 @@
 	// LoadFactor is the load of a target of the new version relative to its load with all
 	// requests; 0 spreads the share over all targets of the version.
 	LoadFactor float64
+	// Until is the time since the order after which the share no longer holds, 0 if it has no end.
+	Until time.Duration
 	// Late is set while the exposure bound leaves no time to complete the version before the
 	// deadline. The bound is kept, and the version is promoted as soon as the bound allows it.
 	Late bool
@@ -88,7 +98,7 @@
 	case p.mayPromote(bounds):
 		return promote(p)
 	default:
-		return decideCanary(p, bounds)
+		return newSchedule(p, bounds).step(p, bounds)
 	}
 }
 
@@ -99,17 +109,8 @@
 	}
 	isDue := p.Elapsed >= p.Duration-reportMargin
 	settled := p.ShareAge >= settleTime && (isDue || p.Exposed >= enoughRequests) || isDue && p.ShareAge >= p.minFullShareTime()
-	return Decision{Share: 1, Complete: settled && p.LeaderTime >= takeoverTime}
-}
-
-// decideCanary returns the step of a version that has a part of the requests.
-func decideCanary(p Progress, bounds ExposureBounds) Decision {
-	plan := newSchedule(p, bounds)
-	decision := Decision{Share: plan.canaryShare(p, bounds), Late: plan.late}
-	if p.Elapsed >= plan.canaryEnd/2 {
-		decision.LoadFactor = loadFactor // concentrated on few targets, to test them under load
-	}
-	return decision
+	isSuspect := min(p.FailurePValue, p.LatencyPValue) <= suspicionLevel && p.ShareAge < maxSuspicionTime
+	return Decision{Share: 1, Complete: settled && !isSuspect && p.LeaderTime >= takeoverTime}
 }
 
 // promote gives a version all requests, or rolls it back if a p-value is significant or a node
--- a/pkg/canary/schedule.go
+++ b/pkg/canary/schedule.go
@@ -11,6 +11,10 @@
 // only when they fit into what the canary stage has left. The canary stage gets what the shortest
 // promotion that completes in time does not need.
 //
+// Shortly before the end of the canary stage, in the load stage, most of its requests go to a few
+// targets within a second, which reveals faults under load. Nodes end that share by themselves if the
+// leader does not.
+//
 // Where a rollout is so short, or a service has so many requests, that no promotion fits before
 // the deadline, the bound is kept and the version completes late.
 const (
@@ -30,9 +34,16 @@
 	initialShare = 0.05
 	// maxCanaryShare is the largest share of the canary stage.
 	maxCanaryShare = 0.5
-	// loadFactor is the load of a target in the second half of the canary stage, as a multiple of
-	// its load with all requests, as in a burst.
+	// loadFactor is the load of a target in the load stage, as a multiple of its load with all
+	// requests, as in a burst.
 	loadFactor = 2.0
+	// loadStageTime is the duration of the load stage, and loadStageFraction the part of the canary
+	// budget that is kept for it. observationTime is how long faults of the load stage may take to
+	// be detected. loadStageSlack is how much longer its share holds if no step ends it.
+	loadStageTime     = time.Second
+	loadStageFraction = 0.6
+	observationTime   = 1200 * time.Millisecond
+	loadStageSlack    = 500 * time.Millisecond
 	// promotionFraction is the part of the rollout's time before which no version is promoted,
 	// so that faults that develop slowly can show, and maxPromotionTime the longest time before
 	// the deadline.
@@ -107,16 +118,39 @@
 	return schedule{canaryEnd: p.Duration, canaryBudget: min(most, minCanaryRequests), late: true}
 }
 
-// canaryShare returns the share in the canary stage. It is lowered when the request rate turns out
-// higher than the share was computed for, and zero once the stage has used its budget.
-func (s schedule) canaryShare(p Progress, bounds ExposureBounds) float64 {
-	if p.Elapsed < rateKnownAfter || p.Requests == 0 {
-		return max(p.Share, min(initialShare, bounds.Share/2))
+// loadStart returns when the load stage begins.
+func (s schedule) loadStart() time.Duration {
+	return max(s.canaryEnd-observationTime-loadStageTime, rateKnownAfter)
+}
+
+// step returns the step of the canary stage.
+func (s schedule) step(p Progress, bounds ExposureBounds) Decision {
+	loadEnd := s.loadStart() + loadStageTime
+	switch {
+	case p.Elapsed < rateKnownAfter || p.Requests == 0:
+		return Decision{Share: max(p.Share, min(initialShare, bounds.Share/2)), Late: s.late}
+	case p.Elapsed < s.loadStart():
+		return Decision{Share: p.spread((1-loadStageFraction)*s.canaryBudget, s.loadStart()), Late: s.late}
+	case p.Elapsed < loadEnd:
+		return Decision{Share: s.loadStageShare(p), LoadFactor: loadFactor, Until: loadEnd + loadStageSlack, Late: s.late}
+	default:
+		return Decision{Share: min(initialShare, p.spread(s.canaryBudget, max(s.canaryEnd, loadEnd))), Late: s.late}
 	}
-	rate := p.planningRate()
-	planned := s.canaryBudget / (rate * s.canaryEnd.Seconds())
-	remaining := (s.canaryBudget - p.spent()) / (rate * max(s.canaryEnd-p.Elapsed, stepPropagationTime).Seconds())
-	share := max(0, min(maxCanaryShare, max(planned, remaining), remaining))
+}
+
+// loadStageShare returns the share in the load stage, which is not changed until its end.
+func (s schedule) loadStageShare(p Progress) float64 {
+	if p.ShareAge < p.Elapsed-s.loadStart() {
+		return p.Share
+	}
+	return max(0, min(maxCanaryShare, (s.canaryBudget-p.spent())/(p.planningRate()*loadStageTime.Seconds())))
+}
+
+// spread returns the share that uses a budget evenly until a time since the order. It is lowered when the
+// request rate turns out higher than the share was computed for, and zero once the budget is used.
+func (p *Progress) spread(budget float64, end time.Duration) float64 {
+	remaining := (budget - p.spent()) / (p.planningRate() * max(end-p.Elapsed, stepPropagationTime).Seconds())
+	share := max(0, min(maxCanaryShare, remaining))
 	unchanged := share < minChangeFactor*p.Share && share > p.Share/minChangeFactor
 	if share > 0 && p.Share > 0 && (unchanged || p.ShareAge < minShareAge) {
 		return p.Share
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -109,6 +109,9 @@
 	Order uint64
 	// Share is the fraction of the service's requests that Version receives.
 	Share float64
+	// Until is the time since the order after which nodes send Version no requests unless a later
+	// step says so; 0 if the share has no end.
+	Until time.Duration
 	// Targets is the number of Version's targets over which the share is spread; 0 means all.
 	Targets int
 	// Elapsed is the time from the order to the writing of the step.
--- a/pkg/edge/advance.go
+++ b/pkg/edge/advance.go
@@ -33,7 +33,7 @@
 	case decision.Complete:
 		c.writeStatus(ctx, now, t, order, catalog.RolloutComplete)
 	default:
-		c.writeStep(ctx, now, t, order, progress, catalog.Step{Share: decision.Share, Targets: decision.Targets(targetCount)})
+		c.writeStep(ctx, now, t, order, progress, catalog.Step{Share: decision.Share, Targets: decision.Targets(targetCount), Until: decision.Until})
 		if order.State == catalog.RolloutNew {
 			c.writeStatus(ctx, now, t, order, catalog.RolloutInProgress)
 		}
@@ -101,7 +101,7 @@
 func (c *controller) writeStep(ctx context.Context, now time.Time, t *trackedRollout, order topology.Order, progress canary.Progress, step catalog.Step) {
 	current, exists := c.view.steps[order.Service]
 	same := exists && order.Owns(current) && current.Failed == step.Failed &&
-		current.Targets == step.Targets && math.Abs(current.Share-step.Share) < minShareChange
+		current.Targets == step.Targets && (current.Until == 0) == (step.Until == 0) && math.Abs(current.Share-step.Share) < minShareChange
 	isUrgent := (step.Share >= 1 || step.Failed) && t.stepWrite.failures == 0
 	if same || t.stepWrite.inFlight || now.Before(t.stepWrite.notBefore) && !isUrgent {
 		return
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -64,6 +64,8 @@
 	totalRequests uint64
 	bad           bool
 	blocked       bool
+	// expired is set while the time of the share in force is over.
+	expired bool
 	// late is set while the exposure bound leaves no time to complete the version in time.
 	late bool
 	// shareSince is when the share in force was first seen. storedElapsed is the elapsed time
@@ -90,7 +92,7 @@
 }
 
 // effectiveSteps returns the steps in force. Steps of versions that this node blocks on its own
-// evidence are marked as failed.
+// evidence are marked as failed, and a share whose time is over is zero.
 func (c *controller) effectiveSteps() map[string]catalog.Step {
 	steps := make(map[string]catalog.Step, len(c.view.steps))
 	for service, step := range c.view.steps {
@@ -98,6 +100,9 @@
 		if rollout != nil && rollout.blocked {
 			step.Failed = true
 		}
+		if rollout != nil && rollout.expired {
+			step.Share = 0
+		}
 		steps[service] = step
 	}
 	return steps
@@ -189,6 +194,7 @@
 		}
 		t := c.track(now, order)
 		c.blockLocally(now, t, order, local)
+		c.expireShare(now, t, order)
 		counts := c.sumCounts(order.ID, local)
 		c.analyseCanary(now, t, order, counts)
 		if c.rollouts.isLeader {
@@ -252,6 +258,21 @@
 	}
 }
 
+// expireShare ends a share whose time is over, also while there is no leader.
+func (c *controller) expireShare(now time.Time, t *trackedRollout, order topology.Order) {
+	step, exists := c.view.steps[order.Service]
+	expired := exists && order.Owns(step) && step.Until > 0 && t.elapsed(now) > step.Until
+	if expired == t.expired {
+		return
+	}
+	t.expired = expired
+	if expired {
+		c.log.Info().Str("service", order.Service).Str("version", order.Version).Float64("share", step.Share).Dur("until", step.Until).
+			Msg("time of the canary version's share is over; sending it no more requests until the next step")
+	}
+	c.publish(now)
+}
+
 // sumCounts returns the counts of an order over all nodes.
 func (c *controller) sumCounts(order uint64, local map[canary.Key]canary.Counts) map[canary.Key]canary.Counts {
 	sums := map[canary.Key]canary.Counts{}
--- a/pkg/edge/rollouts_test.go
+++ b/pkg/edge/rollouts_test.go
@@ -51,6 +51,21 @@
 	g.Expect(tracked.elapsed(now.Add(time.Second))).To(Equal(6*time.Second), "a node that knows the order for less long changes nothing")
 }
 
+// Guards against a large share of a canary version that lasts because the leader that was to end it is gone.
+func TestShareEndsWithoutALeader(t *testing.T) {
+	g := NewWithT(t)
+	c, order := openOrder()
+	now := time.Now()
+	c.view.steps = map[string]catalog.Step{"s": {Service: "s", Version: "v2", Order: 7, Share: 0.5, Until: 3 * time.Second}}
+	c.updateRollouts(t.Context(), now)
+	g.Expect(c.effectiveSteps()["s"].Share).To(Equal(0.5))
+	c.updateRollouts(t.Context(), now.Add(4*time.Second))
+	g.Expect(c.effectiveSteps()["s"].Share).To(BeZero())
+	c.view.steps["s"] = catalog.Step{Service: "s", Version: "v2", Order: order.ID, Share: 0.1}
+	c.updateRollouts(t.Context(), now.Add(5*time.Second))
+	g.Expect(c.effectiveSteps()["s"].Share).To(Equal(0.1))
+}
+
 // Guards against a new leader that takes the counts of all other nodes, which arrive at once, for a high request
 // rate, and therefore does not promote a good version before the deadline.
 func TestCountsThatArriveAtOnceAreNoRequestRate(t *testing.T) {
