--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -116,6 +116,8 @@
 	Targets int
 	// Elapsed is the time from the order to the writing of the step.
 	Elapsed time.Duration
+	// Sequence increases with each step of the service, whatever the store's revision is.
+	Sequence uint64
 	// Failed is set if the version is rolled back, or blocked at this node. It then receives no
 	// requests.
 	Failed bool
--- a/pkg/edge/advance.go
+++ b/pkg/edge/advance.go
@@ -28,14 +28,14 @@
 		// The next rollout derives its old version from the step, so the step is written
 		// before the status.
 		if c.hasFailedStep(order) {
-			c.writeStatus(ctx, now, t, order, catalog.RolloutRolledBack)
+			c.writeStatus(ctx, now, order, catalog.RolloutRolledBack)
 		}
 	case decision.Complete:
-		c.writeStatus(ctx, now, t, order, catalog.RolloutComplete)
+		c.writeStatus(ctx, now, order, catalog.RolloutComplete)
 	default:
 		c.writeStep(ctx, now, t, order, progress, catalog.Step{Share: decision.Share, Targets: decision.Targets(targetCount), Until: decision.Until})
 		if order.State == catalog.RolloutNew {
-			c.writeStatus(ctx, now, t, order, catalog.RolloutInProgress)
+			c.writeStatus(ctx, now, order, catalog.RolloutInProgress)
 		}
 	}
 }
@@ -97,34 +97,54 @@
 	return count
 }
 
+// writeOf returns the write state of a key.
+func writeOf(writes map[string]*writeState, key string) *writeState {
+	if writes[key] == nil {
+		writes[key] = &writeState{}
+	}
+	return writes[key]
+}
+
+// isReady reports whether a write may be made now. An urgent one does not wait for the interval between
+// writes, only for the backoff after a failure.
+func (w *writeState) isReady(now time.Time, isUrgent bool) bool {
+	return !w.inFlight && (!now.Before(w.notBefore) || isUrgent && w.failures == 0)
+}
+
 // writeStep writes a step if it differs from the one in force.
 func (c *controller) writeStep(ctx context.Context, now time.Time, t *trackedRollout, order topology.Order, progress canary.Progress, step catalog.Step) {
 	current, exists := c.view.steps[order.Service]
 	same := exists && order.Owns(current) && current.Failed == step.Failed &&
 		current.Targets == step.Targets && (current.Until == 0) == (step.Until == 0) && math.Abs(current.Share-step.Share) < minShareChange
-	isUrgent := (step.Share >= 1 || step.Failed) && t.stepWrite.failures == 0
-	if same || t.stepWrite.inFlight || now.Before(t.stepWrite.notBefore) && !isUrgent {
+	isUrgent := step.Share >= 1 || step.Failed
+	if same || !c.isCurrent(replica.Steps) || !writeOf(c.rollouts.stepWrites, order.Service).isReady(now, isUrgent) {
 		return
 	}
 	step.Service, step.Version, step.Order = order.Service, order.Version, order.ID
 	step.Base, step.Elapsed = c.oldVersion(order, current, exists), t.elapsed(now)
-	spec, err := c.options.Codec.EncodeStep(step)
-	if err != nil {
-		c.log.Error().Err(err).Msg("rollout step cannot be encoded; it is not written")
-		return
-	}
-	object, stored := c.replica.Object(replica.Steps, order.Service)
+	step.Sequence = max(current.Sequence+1, uint64(now.UnixMilli()))
 	_, evidence := t.verdict()
 	c.log.Info().Str("service", order.Service).Str("version", order.Version).Float64("share", step.Share).Int("targets", step.Targets).Bool("failed", step.Failed).
 		Dur("elapsed", step.Elapsed).Int("requests", progress.Requests).Int("exposed", progress.Exposed).Float64("rate", progress.Rate).
 		Int("blockingNodes", progress.BlockingNodes).Float64("failurePValue", progress.FailurePValue).Float64("latencyPValue", progress.LatencyPValue).
 		Interface("evidence", evidence).
 		Msg("writing rollout step")
-	c.write(ctx, &t.stepWrite, replica.Steps, func(ctx context.Context) (replica.Object, error) {
-		if stored {
-			return c.options.Store.Replace(ctx, replica.Steps, order.Service, object.Revision, spec)
+	c.storeStep(ctx, step)
+}
+
+// storeStep writes a step in place of the one that the store has.
+func (c *controller) storeStep(ctx context.Context, step catalog.Step) {
+	spec, err := c.options.Codec.EncodeStep(step)
+	if err != nil {
+		c.log.Error().Err(err).Msg("rollout step cannot be encoded; it is not written")
+		return
+	}
+	object, exists, _ := c.replica.Stored(replica.Steps, step.Service)
+	c.write(ctx, writeOf(c.rollouts.stepWrites, step.Service), replica.Steps, func(ctx context.Context) (replica.Object, error) {
+		if exists {
+			return c.options.Store.Replace(ctx, replica.Steps, step.Service, object.Revision, spec)
 		}
-		return c.options.Store.Create(ctx, replica.Steps, order.Service, spec)
+		return c.options.Store.Create(ctx, replica.Steps, step.Service, spec)
 	})
 }
 
@@ -152,14 +172,12 @@
 	return best
 }
 
-// writeStatus writes the state of a rollout if the order still has the revision in the
-// replica.
-func (c *controller) writeStatus(ctx context.Context, now time.Time, t *trackedRollout, order topology.Order, state catalog.RolloutState) {
-	if t.statusWrite.inFlight || now.Before(t.statusWrite.notBefore) {
-		return
-	}
-	object, found := c.replica.Object(replica.Rollouts, order.Name)
-	if !found {
+// writeStatus writes the state of a rollout if the store has the order and it still has the revision
+// in the replica.
+func (c *controller) writeStatus(ctx context.Context, now time.Time, order topology.Order, state catalog.RolloutState) {
+	write := writeOf(c.rollouts.statusWrites, order.Name)
+	object, exists, _ := c.replica.Stored(replica.Rollouts, order.Name)
+	if !exists || !c.isCurrent(replica.Rollouts) || !write.isReady(now, false) {
 		return
 	}
 	status, err := c.options.Codec.EncodeRolloutStatus(order.Version, state)
@@ -167,9 +185,8 @@
 		c.log.Error().Err(err).Msg("rollout status cannot be encoded; it is not written")
 		return
 	}
-	c.log.Info().Str("service", order.Service).Str("version", order.Version).RawJSON("status", status).
-		Dur("elapsed", t.elapsed(now)).Msg("writing rollout status")
-	c.write(ctx, &t.statusWrite, replica.Rollouts, func(ctx context.Context) (replica.Object, error) {
+	c.log.Info().Str("service", order.Service).Str("version", order.Version).RawJSON("status", status).Msg("writing rollout status")
+	c.write(ctx, write, replica.Rollouts, func(ctx context.Context) (replica.Object, error) {
 		return c.options.Store.ReplaceStatus(ctx, replica.Rollouts, order.Name, object.Revision, status)
 	})
 }
--- a/pkg/edge/advance_test.go
+++ b/pkg/edge/advance_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/fireflychute/fireflychute/pkg/catalog"
 	"github.com/fireflychute/fireflychute/pkg/replica"
+	"github.com/fireflychute/fireflychute/pkg/revision"
 	"github.com/fireflychute/fireflychute/pkg/topology"
 )
 
@@ -24,12 +25,12 @@
 	return replica.Object{}, nil
 }
 
-func (w writeRecorder) Replace(_ context.Context, kind replica.Kind, _ string, _ uint64, _ []byte) (replica.Object, error) {
+func (w writeRecorder) Replace(_ context.Context, kind replica.Kind, _ string, _ revision.Revision, _ []byte) (replica.Object, error) {
 	w.kinds <- kind
 	return replica.Object{}, nil
 }
 
-func (w writeRecorder) ReplaceStatus(_ context.Context, kind replica.Kind, _ string, _ uint64, _ []byte) (replica.Object, error) {
+func (w writeRecorder) ReplaceStatus(_ context.Context, kind replica.Kind, _ string, _ revision.Revision, _ []byte) (replica.Object, error) {
 	w.kinds <- kind
 	return replica.Object{}, nil
 }
@@ -56,8 +57,8 @@
 	}
 	step := catalog.Step{Service: "s", Version: "v2", Base: "v1", Order: 7, Share: 1}
 	c.view.steps = map[string]catalog.Step{"s": step}
-	c.replica.Put(now, replica.Rollouts, replica.Object{Name: "s", Revision: 3})
-	c.replica.Put(now, replica.Steps, replica.Object{Name: "s", Revision: 4})
+	c.replica.Replace(now, replica.Rollouts, revision.Decode(4), []replica.Object{{Name: "s", Revision: revision.Decode(3)}}, false)
+	c.replica.Replace(now, replica.Steps, revision.Decode(4), []replica.Object{{Name: "s", Revision: revision.Decode(4)}}, false)
 	bad := &trackedRollout{bad: true, share: 1, shareSince: now, storedElapsedAt: now}
 	c.advanceRollout(t.Context(), now, bad, order, nil)
 	g.Expect(<-store.kinds).To(Equal(replica.Steps))
@@ -65,7 +66,7 @@
 
 	step.Failed, step.Share = true, 0
 	c.view.steps["s"] = step
-	bad.stepWrite = writeState{}
+	c.rollouts.stepWrites = map[string]*writeState{}
 	c.advanceRollout(t.Context(), now, bad, order, nil)
 	g.Eventually(store.kinds).Should(Receive(Equal(replica.Rollouts)))
 	next := order
--- a/pkg/edge/controller.go
+++ b/pkg/edge/controller.go
@@ -16,6 +16,7 @@
 	"github.com/fireflychute/fireflychute/pkg/peer"
 	"github.com/fireflychute/fireflychute/pkg/quota"
 	"github.com/fireflychute/fireflychute/pkg/replica"
+	"github.com/fireflychute/fireflychute/pkg/revision"
 	"github.com/fireflychute/fireflychute/pkg/topology"
 	"github.com/fireflychute/fireflychute/pkg/transport"
 )
@@ -75,6 +76,8 @@
 	started      time.Time
 	// storeSeenAt is when the store was last reached, by this node or by one that it follows.
 	storeSeenAt time.Time
+	// storeEra is a revision of the newest era in which the store has answered.
+	storeEra revision.Revision
 	// sourceSeenAt is when a followed node last replied, even if its data were stale.
 	sourceSeenAt time.Time
 
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -117,6 +117,7 @@
 	storeSeenAt                  atomic.Int64 // Unix milliseconds
 	storeCalls, storeCallsFailed atomic.Int64
 	published, blocked           atomic.Int64
+	storeRestores                atomic.Int64
 }
 
 // observe records the values that are not updated by requests. It runs at each collection
@@ -131,6 +132,7 @@
 	record(telemetry.StoreAge, time.Now().UnixMilli()-s.storeSeenAt.Load())
 	record(telemetry.PlatformCalls, s.storeCalls.Load())
 	record(telemetry.PlatformFailures, s.storeCallsFailed.Load())
+	record(telemetry.PlatformRestores, s.storeRestores.Load())
 	record(telemetry.Snapshots, s.published.Load())
 	record(telemetry.VersionsBlocked, s.blocked.Load())
 	record(telemetry.LoadProbes, p.meter.probes.Load())
--- a/pkg/edge/probe.go
+++ b/pkg/edge/probe.go
@@ -7,6 +7,7 @@
 
 	"github.com/fireflychute/fireflychute/internal/wait"
 	"github.com/fireflychute/fireflychute/pkg/replica"
+	"github.com/fireflychute/fireflychute/pkg/revision"
 )
 
 const (
@@ -32,9 +33,9 @@
 func (c *controller) probeOnce(ctx context.Context) {
 	call, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	objects, err := c.options.Store.ListStale(call, replica.Configurations)
+	objects, asOf, err := c.options.Store.ListStale(call, replica.Configurations)
 	if ctx.Err() == nil {
-		c.do(ctx, func() { c.recordProbe(time.Now(), objects, err) })
+		c.do(ctx, func() { c.recordProbe(time.Now(), objects, asOf, err) })
 	}
 }
 
@@ -48,7 +49,7 @@
 
 // recordProbe applies the result of a probe. Unlike a failed watch, a failed probe does not
 // make missing entries lapse: a store that is merely slow has really removed them.
-func (c *controller) recordProbe(now time.Time, objects []replica.Object, err error) {
+func (c *controller) recordProbe(now time.Time, objects []replica.Object, asOf revision.Revision, err error) {
 	c.stats.storeCalls.Add(1)
 	if err != nil {
 		c.stats.storeCallsFailed.Add(1)
@@ -63,6 +64,7 @@
 		c.watch.probeFailing = false
 		c.log.Info().Msg("store probe succeeded again")
 	}
+	c.noteEra(asOf)
 	for _, object := range objects {
 		c.dirty = c.replica.Put(now, replica.Configurations, object) || c.dirty
 	}
--- a/pkg/edge/probe_test.go
+++ b/pkg/edge/probe_test.go
@@ -11,6 +11,7 @@
 	"github.com/fireflychute/fireflychute/pkg/catalog"
 	"github.com/fireflychute/fireflychute/pkg/message"
 	"github.com/fireflychute/fireflychute/pkg/replica"
+	"github.com/fireflychute/fireflychute/pkg/revision"
 )
 
 func testController(name string) *controller {
@@ -27,17 +28,17 @@
 	now := time.Now()
 	c.storeSeenAt = now
 	fetch := &message.ReplicaFetch{Have: make([]message.ReplicaRevision, len(replica.Kinds()))}
-	c.recordProbe(now, nil, errors.New("no response"))
+	c.recordProbe(now, nil, revision.Revision{}, errors.New("no response"))
 	g.Expect(isMarkedSilent(c.replyTo(now, fetch))).To(BeTrue())
 	g.Expect(c.mayLapse(now, now)).To(BeFalse())
-	c.recordProbe(now, []replica.Object{{Name: "main", Revision: 7}}, nil)
+	c.recordProbe(now, []replica.Object{{Name: "main", Revision: revision.Decode(7)}}, revision.Decode(7), nil)
 	g.Expect(isMarkedSilent(c.replyTo(now, fetch))).To(BeFalse())
 	object, exists := c.replica.Object(replica.Configurations, "main")
 	g.Expect(exists).To(BeTrue())
-	g.Expect(object.Revision).To(BeEquivalentTo(7))
-	c.recordProbe(now, []replica.Object{{Name: "main", Revision: 5}}, nil)
+	g.Expect(object.Revision).To(Equal(revision.Decode(7)))
+	c.recordProbe(now, []replica.Object{{Name: "main", Revision: revision.Decode(5)}}, revision.Decode(5), nil)
 	object, _ = c.replica.Object(replica.Configurations, "main")
-	g.Expect(object.Revision).To(BeEquivalentTo(7), "an older response changes nothing")
+	g.Expect(object.Revision).To(Equal(revision.Decode(7)), "an older response changes nothing")
 }
 
 // Guards against nodes that keep following a node whose probes of the store fail.
@@ -62,7 +63,7 @@
 			c.view.ranked = append(c.view.ranked, catalog.Node{Name: "n" + string(rune('0'+i))})
 		}
 		for _, kind := range replica.Kinds() {
-			c.replica.Replace(now, kind, 1, nil, false)
+			c.replica.Replace(now, kind, revision.Decode(1), nil, false)
 		}
 		c.storeSeenAt = now.Add(-outage)
 		if hasSource {
--- a/pkg/edge/register.go
+++ b/pkg/edge/register.go
@@ -23,10 +23,10 @@
 	failures  int
 }
 
-// ensureRegistered writes the node's own entry if it is missing, cannot be decoded, or holds
+// ensureRegistered writes the node's own entry if the store lacks it, it cannot be decoded, or holds
 // another address or data centre.
 func (c *controller) ensureRegistered(ctx context.Context, now time.Time) {
-	if !c.replica.IsLoaded(replica.Nodes) || c.registration.inFlight || now.Before(c.registration.notBefore) {
+	if !c.isCurrent(replica.Nodes) || c.registration.inFlight || now.Before(c.registration.notBefore) {
 		return
 	}
 	spec, err := c.options.Codec.EncodeNode(c.self)
@@ -34,7 +34,7 @@
 		c.log.Error().Err(err).Msg("own node entry cannot be encoded; node is not registered")
 		return
 	}
-	object, exists := c.replica.Object(replica.Nodes, c.self.Name)
+	object, exists, _ := c.replica.Stored(replica.Nodes, c.self.Name)
 	if exists && bytes.Equal(bytes.TrimSpace(object.Spec), spec) {
 		return
 	}
@@ -71,7 +71,7 @@
 				return
 			}
 			state.failures = 0
-			if object.Name != "" && object.Revision > 0 {
+			if object.Name != "" && !object.Revision.IsZero() {
 				c.dirty = c.replica.Put(now, kind, object) || c.dirty
 			}
 		})
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -13,6 +13,7 @@
 	"github.com/fireflychute/fireflychute/pkg/message"
 	"github.com/fireflychute/fireflychute/pkg/outcome"
 	"github.com/fireflychute/fireflychute/pkg/replica"
+	"github.com/fireflychute/fireflychute/pkg/revision"
 	"github.com/fireflychute/fireflychute/pkg/topology"
 )
 
@@ -36,6 +37,8 @@
 	blocking map[uint64]map[string]bool
 	// tracked holds the open rollouts by order ID.
 	tracked map[uint64]*trackedRollout
+	// stepWrites and statusWrites hold the writes by service and by the order's name.
+	stepWrites, statusWrites map[string]*writeState
 }
 
 // maxClockLag is by how much the elapsed time of a rollout may differ between nodes without being
@@ -74,15 +77,13 @@
 	share           float64
 	storedElapsedAt time.Time
 	storedElapsed   time.Duration
-	stepRevision    uint64
-	stepWrite       writeState
-	statusWrite     writeState
+	stepRevision    revision.Revision
 }
 
 func newRolloutState() rolloutState {
 	return rolloutState{
 		reports: map[reportKey]map[canary.Key]canary.Counts{}, blocking: map[uint64]map[string]bool{},
-		tracked: map[uint64]*trackedRollout{},
+		tracked: map[uint64]*trackedRollout{}, stepWrites: map[string]*writeState{}, statusWrites: map[string]*writeState{},
 	}
 }
 
@@ -179,6 +180,9 @@
 
 // updateRollouts analyses all open rollouts and, on the leader, advances them.
 func (c *controller) updateRollouts(ctx context.Context, now time.Time) {
+	if c.rollouts.isLeader {
+		c.restoreRollouts(ctx, now)
+	}
 	open := c.openOrders()
 	isClosed := func(order uint64) bool { return !open[order] }
 	maps.DeleteFunc(c.rollouts.tracked, func(order uint64, _ *trackedRollout) bool { return isClosed(order) })
@@ -216,7 +220,7 @@
 		if step.Share != t.share {
 			t.share, t.shareSince = step.Share, now
 		}
-		if object, exists := c.replica.Object(replica.Steps, order.Service); exists && object.Revision > t.stepRevision {
+		if object, exists := c.replica.Object(replica.Steps, order.Service); exists && object.Revision.After(t.stepRevision) {
 			t.stepRevision, t.storedElapsed, t.storedElapsedAt = object.Revision, max(step.Elapsed, t.elapsed(now)), now
 		}
 	}
--- a/pkg/edge/start_test.go
+++ b/pkg/edge/start_test.go
@@ -12,6 +12,7 @@
 	"github.com/fireflychute/fireflychute/pkg/catalog"
 	"github.com/fireflychute/fireflychute/pkg/peer"
 	"github.com/fireflychute/fireflychute/pkg/replica"
+	"github.com/fireflychute/fireflychute/pkg/revision"
 	"github.com/fireflychute/fireflychute/pkg/topology"
 )
 
@@ -51,12 +52,12 @@
 		}
 	}()
 	now := time.Now()
-	c.do(ctx, func() { c.replica.Replace(now, replica.Targets, 1, nil, false) })
+	c.do(ctx, func() { c.replica.Replace(now, replica.Targets, revision.Decode(1), nil, false) })
 	g.Expect(c.mayCall(ctx, replica.Targets)).To(BeFalse())
 	g.Expect(c.mayCall(ctx, replica.Nodes)).To(BeTrue())
 	c.do(ctx, func() {
 		for _, kind := range replica.Kinds() {
-			c.replica.Replace(now, kind, 1, nil, false)
+			c.replica.Replace(now, kind, revision.Decode(1), nil, false)
 		}
 	})
 	g.Expect(c.mayCall(ctx, replica.Targets)).To(BeTrue())
@@ -69,14 +70,14 @@
 	stale, current    []replica.Object
 }
 
-func (r readCounter) ListStale(_ context.Context, kind replica.Kind) ([]replica.Object, error) {
+func (r readCounter) ListStale(_ context.Context, kind replica.Kind) ([]replica.Object, revision.Revision, error) {
 	r.staleLists[kind]++
-	return r.stale, nil
+	return r.stale, r.stale[0].Revision, nil
 }
 
-func (r readCounter) List(_ context.Context, kind replica.Kind) ([]replica.Object, uint64, error) {
+func (r readCounter) List(_ context.Context, kind replica.Kind) ([]replica.Object, revision.Revision, error) {
 	r.lists[kind]++
-	return r.current, 9, nil
+	return r.current, revision.Decode(9), nil
 }
 
 // Guards against a start of the whole fleet that loads the store with a full read of every kind
@@ -86,7 +87,7 @@
 	g := NewWithT(t)
 	store := readCounter{
 		staleLists: map[replica.Kind]int{}, lists: map[replica.Kind]int{},
-		stale: []replica.Object{{Name: "a", Revision: 4}}, current: []replica.Object{{Name: "a", Revision: 8}},
+		stale: []replica.Object{{Name: "a", Revision: revision.Decode(4)}}, current: []replica.Object{{Name: "a", Revision: revision.Decode(8)}},
 	}
 	c := newTestController(Options{Store: store, Log: zerolog.Nop()}, nil, nil)
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
@@ -101,7 +102,7 @@
 	}
 	g.Expect(store.staleLists).To(Equal(map[replica.Kind]int{replica.Nodes: 1, replica.Rollouts: 1, replica.Evacuations: 1}))
 	g.Expect(store.lists).To(Equal(map[replica.Kind]int{replica.Configurations: 1, replica.Targets: 1, replica.Steps: 1}))
-	g.Expect(c.replica.AsOf(replica.Nodes)).To(Equal(uint64(4)), "later changes are still requested")
+	g.Expect(c.replica.AsOf(replica.Nodes)).To(Equal(revision.Decode(4)), "later changes are still requested")
 	g.Expect(c.readKind(ctx, replica.Nodes)).To(Succeed())
 	g.Expect(store.lists[replica.Nodes]).To(Equal(1), "a repeated read returns the current state")
 }
--- a/pkg/edge/store.go
+++ b/pkg/edge/store.go
@@ -6,26 +6,29 @@
 
 	"github.com/fireflychute/fireflychute/pkg/catalog"
 	"github.com/fireflychute/fireflychute/pkg/replica"
+	"github.com/fireflychute/fireflychute/pkg/revision"
 )
 
-// Store is the platform's metadata store. Its errors are of type *objectstore.CallError.
+// Store is the platform's metadata store. Its errors are of type *objectstore.CallError. All
+// revisions that it returns are of the era in which the store answered.
 type Store interface {
 	// List reads all objects of a kind. asOf is the store's revision before the read.
-	List(ctx context.Context, kind replica.Kind) (objects []replica.Object, asOf uint64, err error)
+	List(ctx context.Context, kind replica.Kind) (objects []replica.Object, asOf revision.Revision, err error)
 	// ListStale reads all objects of a kind from a copy that may be some seconds old. It costs
-	// the store next to nothing, so it can be called often.
-	ListStale(ctx context.Context, kind replica.Kind) ([]replica.Object, error)
+	// the store next to nothing, so it can be called often. asOf is the revision of the newest
+	// object, since the age of the copy is unknown.
+	ListStale(ctx context.Context, kind replica.Kind) (objects []replica.Object, asOf revision.Revision, err error)
 	// Watch waits up to the given time for changes of a kind after a revision. It returns no
-	// events if nothing changed.
-	Watch(ctx context.Context, kind replica.Kind, from uint64, wait time.Duration) (events []replica.Event, asOf uint64, err error)
+	// events if nothing changed. Events of another era than that of from mean nothing.
+	Watch(ctx context.Context, kind replica.Kind, from revision.Revision, wait time.Duration) (events []replica.Event, asOf revision.Revision, err error)
 	// Create stores a new object and fails if it exists.
 	Create(ctx context.Context, kind replica.Kind, name string, spec []byte) (replica.Object, error)
 	// Replace stores a spec if the object still has the revision.
-	Replace(ctx context.Context, kind replica.Kind, name string, revision uint64, spec []byte) (replica.Object, error)
+	Replace(ctx context.Context, kind replica.Kind, name string, at revision.Revision, spec []byte) (replica.Object, error)
 	// ReplaceStatus stores a status if the object still has the revision.
-	ReplaceStatus(ctx context.Context, kind replica.Kind, name string, revision uint64, status []byte) (replica.Object, error)
+	ReplaceStatus(ctx context.Context, kind replica.Kind, name string, at revision.Revision, status []byte) (replica.Object, error)
 	// Delete removes an object if it still has the revision.
-	Delete(ctx context.Context, kind replica.Kind, name string, revision uint64) error
+	Delete(ctx context.Context, kind replica.Kind, name string, at revision.Revision) error
 }
 
 // Codec decodes and encodes the documents in the store's objects.
--- a/pkg/edge/sync.go
+++ b/pkg/edge/sync.go
@@ -11,6 +11,7 @@
 	"github.com/fireflychute/fireflychute/pkg/follow"
 	"github.com/fireflychute/fireflychute/pkg/message"
 	"github.com/fireflychute/fireflychute/pkg/replica"
+	"github.com/fireflychute/fireflychute/pkg/revision"
 )
 
 const (
@@ -163,7 +164,8 @@
 		Counts: c.localCounts(), Orders: c.orderReports(time.Now()),
 	}
 	for _, kind := range replica.Kinds() {
-		fetch.Have = append(fetch.Have, message.ReplicaRevision{Known: c.replica.IsLoaded(kind), AsOf: c.replica.AsOf(kind)})
+		have := c.replica.Position(kind)
+		fetch.Have = append(fetch.Have, message.ReplicaRevision{Known: have.Loaded, AsOf: have.AsOf.Encode(), Sequence: have.Generation.Sequence})
 	}
 	return fetch
 }
@@ -217,6 +219,7 @@
 			c.log.Warn().Str("peer", node.Name).Msg("ignoring delta of unknown kind in replica reply")
 			continue
 		}
+		c.noteEra(delta.AsOf)
 		c.dirty = c.replica.Merge(now, delta) || c.dirty
 	}
 }
@@ -225,21 +228,25 @@
 	if encoded.Kind < 0 || encoded.Kind >= len(replica.Kinds()) {
 		return replica.Delta{}, false
 	}
-	delta := replica.Delta{Kind: replica.Kind(encoded.Kind), Full: encoded.Full, AsOf: encoded.AsOf, Removed: encoded.Removed}
+	delta := replica.Delta{Kind: replica.Kind(encoded.Kind), Full: encoded.Full, AsOf: revision.Decode(encoded.AsOf), Removed: encoded.Removed}
 	for i := range encoded.Objects {
 		o := &encoded.Objects[i]
 		delta.Objects = append(delta.Objects, replica.Object{
-			Name: o.Name, Revision: o.Revision, Created: o.Created, Spec: []byte(o.Spec), Status: []byte(o.Status), Lapsed: o.Lapsed,
+			Name: o.Name, Revision: revision.Decode(o.Revision), Created: revision.Decode(o.Created),
+			Generation: replica.Generation{Incarnation: o.Incarnation, Sequence: o.Sequence},
+			Spec:       []byte(o.Spec), Status: []byte(o.Status), Lapsed: o.Lapsed, Withheld: o.Withheld,
 		})
 	}
 	return delta, true
 }
 
 func encodeDelta(delta replica.Delta) message.ReplicaDelta {
-	encoded := message.ReplicaDelta{Kind: int(delta.Kind), Full: delta.Full, AsOf: delta.AsOf, Removed: delta.Removed}
+	encoded := message.ReplicaDelta{Kind: int(delta.Kind), Full: delta.Full, AsOf: delta.AsOf.Encode(), Removed: delta.Removed}
 	for _, o := range delta.Objects {
 		encoded.Objects = append(encoded.Objects, message.ReplicaObject{
-			Name: o.Name, Revision: o.Revision, Created: o.Created, Spec: string(o.Spec), Status: string(o.Status), Lapsed: o.Lapsed,
+			Name: o.Name, Revision: o.Revision.Encode(), Created: o.Created.Encode(),
+			Incarnation: o.Generation.Incarnation, Sequence: o.Generation.Sequence,
+			Spec: string(o.Spec), Status: string(o.Status), Lapsed: o.Lapsed, Withheld: o.Withheld,
 		})
 	}
 	return encoded
@@ -298,7 +305,9 @@
 func (c *controller) replyTo(now time.Time, fetch *message.ReplicaFetch) (reply *message.ReplicaAnswer, changed bool) {
 	reply = &message.ReplicaAnswer{StaleMs: int(c.storeAge(now).Milliseconds()), Silent: c.watch.probeFailing}
 	for i, have := range fetch.Have {
-		delta, ok := c.replica.DeltaSince(replica.Kind(i), have.AsOf, have.Known)
+		delta, ok := c.replica.DeltaSince(replica.Kind(i), replica.Position{
+			Loaded: have.Known, AsOf: revision.Decode(have.AsOf), Generation: replica.Generation{Sequence: have.Sequence},
+		})
 		if ok {
 			reply.Deltas = append(reply.Deltas, encodeDelta(delta))
 			changed = changed || !delta.IsEmpty()
@@ -312,13 +321,16 @@
 	return reply, changed
 }
 
-// replyKey identifies the content of a reply to a fetch by the revisions of both nodes.
+// replyKey identifies the content of a reply to a fetch by the revisions of both nodes and the
+// changes that this node has made to its replica.
 func (c *controller) replyKey(fetch *message.ReplicaFetch) string {
 	key := make([]byte, 0, 16*len(fetch.Have))
 	for i, have := range fetch.Have {
 		key = strconv.AppendBool(key, have.Known)
 		key = strconv.AppendUint(append(key, ' '), have.AsOf, 16)
-		key = strconv.AppendUint(append(key, ' '), c.replica.AsOf(replica.Kind(i)), 16)
+		key = strconv.AppendUint(append(key, ' '), have.Sequence, 16)
+		key = strconv.AppendUint(append(key, ' '), c.replica.AsOf(replica.Kind(i)).Encode(), 16)
+		key = strconv.AppendUint(append(key, ' '), c.replica.ChangeCount(replica.Kind(i)), 16)
 	}
 	return string(key)
 }
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -10,26 +10,28 @@
 	"github.com/fireflychute/fireflychute/pkg/catalog"
 	"github.com/fireflychute/fireflychute/pkg/follow"
 	"github.com/fireflychute/fireflychute/pkg/replica"
+	"github.com/fireflychute/fireflychute/pkg/revision"
 	"github.com/fireflychute/fireflychute/pkg/topology"
 )
 
 // view is the decoded content of the replica.
 type view struct {
 	configuration *catalog.Configuration
-	revision      uint64
-	targets       map[string]decodedTarget
-	nodes         []catalog.Node
-	ranked        []catalog.Node
-	orders        map[string]topology.Order
-	steps         map[string]catalog.Step
-	evacuated     map[string]bool
+	// revision is that of the newest configuration object that was decoded.
+	revision  revision.Revision
+	targets   map[string]decodedTarget
+	nodes     []catalog.Node
+	ranked    []catalog.Node
+	orders    map[string]topology.Order
+	steps     map[string]catalog.Step
+	evacuated map[string]bool
 	// decoded holds the Replica.ChangeCount at which each kind was last decoded.
 	decoded map[replica.Kind]uint64
 }
 
 // decodedTarget is a target with the revision of the object it was decoded from.
 type decodedTarget struct {
-	revision uint64
+	revision revision.Revision
 	target   catalog.Target
 	err      error
 }
@@ -63,22 +65,26 @@
 	}
 }
 
-// decodeConfiguration applies a newer configuration. If it is invalid, the last valid one
-// stays in force.
+// decodeConfiguration applies a newer configuration: one with a higher version, whatever the
+// store's revision is. If it is invalid, the last valid one stays in force.
 func (c *controller) decodeConfiguration() {
 	for _, object := range c.replica.Objects(replica.Configurations) {
-		if object.Revision <= c.view.revision {
+		if object.Revision == c.view.revision {
 			continue
 		}
 		configuration, err := c.options.Codec.Configuration(object)
-		if err != nil {
-			c.log.Error().Err(err).Str("object", object.Name).Uint64("revision", object.Revision).Msg("invalid configuration rejected; the last valid one stays in force")
-			c.view.revision = object.Revision
-			continue
+		c.view.revision = object.Revision
+		switch {
+		case err != nil:
+			c.log.Error().Err(err).Str("object", object.Name).Stringer("revision", object.Revision).Msg("invalid configuration rejected; the last valid one stays in force")
+		case c.view.configuration != nil && configuration.Version < c.view.configuration.Version:
+			c.log.Warn().Uint64("configuration", configuration.Version).Uint64("inForce", c.view.configuration.Version).Stringer("revision", object.Revision).
+				Msg("older configuration ignored; the newer one stays in force")
+		default:
+			c.view.configuration = configuration
+			c.log.Info().Uint64("configuration", configuration.Version).Stringer("revision", object.Revision).
+				Int("routes", len(configuration.Routes)).Msg("configuration applied")
 		}
-		c.view.configuration, c.view.revision = configuration, object.Revision
-		c.log.Info().Uint64("configuration", configuration.Version).Uint64("revision", object.Revision).
-			Int("routes", len(configuration.Routes)).Msg("configuration applied")
 	}
 }
 
@@ -107,11 +113,11 @@
 func (c *controller) logTarget(object replica.Object, previous decodedTarget, target catalog.Target, err error) {
 	switch {
 	case err != nil:
-		c.log.Warn().Err(err).Str("target", object.Name).Uint64("revision", object.Revision).Msg("target entry cannot be decoded; target ignored")
-	case previous.revision == 0 || previous.err != nil || previous.target.Leaving != target.Leaving || previous.target.Incarnation != target.Incarnation:
+		c.log.Warn().Err(err).Str("target", object.Name).Stringer("revision", object.Revision).Msg("target entry cannot be decoded; target ignored")
+	case previous.revision.IsZero() || previous.err != nil || previous.target.Leaving != target.Leaving || previous.target.Incarnation != target.Incarnation:
 		c.log.Info().Str("target", target.ID).Str("address", target.Address).Str("service", target.Service).
 			Str("version", target.Version).Bool("leaving", target.Leaving).Bool("lapsed", object.Lapsed).
-			Uint64("revision", object.Revision).Msg("target added or changed")
+			Stringer("revision", object.Revision).Msg("target added or changed")
 	}
 }
 
@@ -130,15 +136,16 @@
 }
 
 func (c *controller) decodeOrders() {
-	c.view.orders = map[string]topology.Order{}
+	orders := map[string]topology.Order{}
 	for _, object := range c.replica.Objects(replica.Rollouts) {
 		rollout, err := c.options.Codec.Rollout(object)
 		if err != nil {
 			c.log.Warn().Err(err).Str("rollout", object.Name).Msg("rollout order cannot be decoded; order ignored")
 			continue
 		}
-		c.view.orders[rollout.Service] = topology.Order{Rollout: rollout, Name: object.Name, ID: orderID(object, rollout.Version)}
+		orders[rollout.Service] = c.identify(object, rollout)
 	}
+	c.view.orders = orders
 }
 
 func (c *controller) decodeSteps() {
@@ -151,6 +158,7 @@
 		}
 		c.view.steps[step.Service] = step
 	}
+	c.decodeOrders() // a step tells which order is which
 }
 
 func (c *controller) decodeEvacuations() {
@@ -177,7 +185,7 @@
 // orderID returns the ID of a rollout order. It includes the version, since an operator may
 // replace an order within the same object.
 func orderID(object replica.Object, version string) uint64 {
-	hash := xxhash.Sum64String(object.Name + "\x00" + version + "\x00" + strconv.FormatUint(object.Created, 10))
+	hash := xxhash.Sum64String(object.Name + "\x00" + version + "\x00" + strconv.FormatUint(object.Created.Number(), 10))
 	return hash>>(64-orderIDBits) | 1
 }
 
@@ -202,6 +210,6 @@
 	}
 	c.published.Store(c.builder.Build(input))
 	c.stats.published.Add(1)
-	c.stats.revision.Store(int64(c.view.revision))
+	c.stats.revision.Store(int64(c.view.revision.Number()))
 	c.stats.fleetSize.Store(int64(len(input.Nodes)))
 }
--- a/pkg/edge/view_bench_test.go
+++ b/pkg/edge/view_bench_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/fireflychute/fireflychute/pkg/catalog"
 	"github.com/fireflychute/fireflychute/pkg/replica"
+	"github.com/fireflychute/fireflychute/pkg/revision"
 	"github.com/fireflychute/fireflychute/pkg/topology"
 	"github.com/fireflychute/fireflychute/pkg/transport"
 )
@@ -41,23 +42,23 @@
 			c.storeSeenAt = now
 			objects := func(count int, kind string) (all []replica.Object) {
 				for i := range count {
-					all = append(all, replica.Object{Name: fmt.Sprintf("%d%s%d", i%5, kind, i), Revision: 1, Created: 1})
+					all = append(all, replica.Object{Name: fmt.Sprintf("%d%s%d", i%5, kind, i), Revision: revision.Decode(1), Created: revision.Decode(1)})
 				}
 				return all
 			}
 			for _, kind := range replica.Kinds() {
-				c.replica.Replace(now, kind, 1, nil, false)
+				c.replica.Replace(now, kind, revision.Decode(1), nil, false)
 			}
 			targets := objects(size.targets, "t")
-			c.replica.Replace(now, replica.Targets, 2, targets, false)
-			c.replica.Replace(now, replica.Nodes, 2, objects(size.nodes, "n"), false)
-			c.replica.Replace(now, replica.Configurations, 2, objects(1, "c"), false)
+			c.replica.Replace(now, replica.Targets, revision.Decode(2), targets, false)
+			c.replica.Replace(now, replica.Nodes, revision.Decode(2), objects(size.nodes, "n"), false)
+			c.replica.Replace(now, replica.Configurations, revision.Decode(2), objects(1, "c"), false)
 			c.decode()
 			c.publish(now)
 			b.ResetTimer()
 			for i := range b.N {
 				changed := targets[i%len(targets)]
-				changed.Revision = uint64(3 + i)
+				changed.Revision = revision.Decode(uint64(3 + i))
 				c.replica.Apply(now, replica.Targets, changed.Revision, []replica.Event{{Object: changed}}, false)
 				c.decode()
 				c.publish(now)
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -11,6 +11,7 @@
 	"github.com/fireflychute/fireflychute/pkg/catalog"
 	"github.com/fireflychute/fireflychute/pkg/objectstore"
 	"github.com/fireflychute/fireflychute/pkg/replica"
+	"github.com/fireflychute/fireflychute/pkg/revision"
 )
 
 const (
@@ -54,12 +55,19 @@
 	lastFailureAt time.Time
 	// relist holds the kinds that must be read as a whole.
 	relist map[replica.Kind]bool
+	// waits is the context of the watches that wait for a change; endWaits ends them.
+	waits    context.Context
+	endWaits context.CancelFunc
 }
 
 // startWatching starts a watch of each kind and the probes of the store.
 func (c *controller) startWatching(ctx context.Context) {
 	ctx, c.watch.cancel = context.WithCancel(ctx)
 	c.watch.relist = map[replica.Kind]bool{}
+	c.watch.waits, c.watch.endWaits = context.WithCancel(ctx)
+	for _, kind := range replica.Kinds() {
+		c.watch.relist[kind] = c.replica.IsLoaded(kind) && !c.isCurrent(kind)
+	}
 	for _, kind := range replica.Kinds() {
 		go c.watchKind(ctx, kind)
 	}
@@ -120,26 +128,31 @@
 // otherwise a watch.
 func (c *controller) syncKind(ctx context.Context, kind replica.Kind) (changed bool, err error) {
 	var loaded bool
-	var from uint64
+	var from revision.Revision
+	waits := ctx
 	c.do(ctx, func() {
 		loaded = c.replica.IsLoaded(kind) && !c.watch.relist[kind]
 		from = c.replica.AsOf(kind)
+		if c.watch.waits.Err() != nil {
+			c.watch.waits, c.watch.endWaits = context.WithCancel(ctx)
+		}
+		waits = c.watch.waits
 	})
 	if !loaded {
 		return false, c.readKind(ctx, kind)
 	}
 	startedAt := time.Now()
 	maxWait := watchWaitOf(kind)
-	call, cancel := context.WithTimeout(ctx, maxWait+watchGrace)
+	call, cancel := context.WithTimeout(waits, maxWait+watchGrace)
 	defer cancel()
 	events, asOf, err := c.options.Store.Watch(call, kind, from, maxWait)
-	if ctx.Err() != nil {
+	if waits.Err() != nil {
 		return false, nil
 	}
 	if errors.Is(err, objectstore.ErrHistoryGone) {
 		c.do(ctx, func() { c.watch.relist[kind] = true })
-		c.log.Info().Int("kind", int(kind)).Uint64("from", from).Msg("store no longer has the changes since this revision; listing the kind again")
-		return false, nil
+		c.log.Info().Int("kind", int(kind)).Stringer("from", from).Msg("store no longer has the changes since this revision; listing the kind again")
+		return true, nil // a store that cannot serve its own list must not be called without a pause
 	}
 	c.do(ctx, func() {
 		now := time.Now()
@@ -147,6 +160,7 @@
 		if err != nil {
 			return
 		}
+		c.noteEra(asOf)
 		changed = c.replica.Apply(now, kind, asOf, events, c.mayLapse(now, startedAt))
 		c.dirty = c.dirty || changed
 	})
@@ -174,7 +188,7 @@
 func (c *controller) listStale(ctx context.Context, kind replica.Kind) error {
 	call, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	objects, err := c.options.Store.ListStale(call, kind)
+	objects, asOf, err := c.options.Store.ListStale(call, kind)
 	if ctx.Err() != nil {
 		return nil
 	}
@@ -182,21 +196,13 @@
 		now := time.Now()
 		c.recordStoreCall(now, err)
 		if err == nil {
-			c.dirty = c.replica.Replace(now, kind, newestRevision(objects), objects, false) || c.dirty
+			c.noteEra(asOf)
+			c.dirty = c.replica.Replace(now, kind, asOf, objects, false) || c.dirty
 		}
 	})
 	return err
 }
 
-// newestRevision returns the highest revision of the objects, 0 if there are none.
-func newestRevision(objects []replica.Object) uint64 {
-	var revision uint64
-	for i := range objects {
-		revision = max(revision, objects[i].Revision)
-	}
-	return revision
-}
-
 // listKind reads the current state of a kind as a whole.
 func (c *controller) listKind(ctx context.Context, kind replica.Kind) error {
 	startedAt := time.Now()
@@ -212,7 +218,10 @@
 		if err != nil {
 			return
 		}
-		delete(c.watch.relist, kind)
+		c.noteEra(asOf)
+		if !c.storeEra.EraAfter(asOf) {
+			delete(c.watch.relist, kind)
+		}
 		c.dirty = c.replica.Replace(now, kind, asOf, objects, c.mayLapse(now, startedAt)) || c.dirty
 	})
 	return err
--- a/pkg/message/codec_gen.go
+++ b/pkg/message/codec_gen.go
@@ -3072,13 +3072,16 @@
 	o = append(o, 0xa4, 0x68, 0x61, 0x76, 0x65)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Have)))
 	for za0002 := range z.Have {
-		// map header, size 2
+		// map header, size 3
 		// string "asOf"
-		o = append(o, 0x82, 0xa4, 0x61, 0x73, 0x4f, 0x66)
+		o = append(o, 0x83, 0xa4, 0x61, 0x73, 0x4f, 0x66)
 		o = msgp.AppendUint64(o, z.Have[za0002].AsOf)
 		// string "known"
 		o = append(o, 0xa5, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
 		o = msgp.AppendBool(o, z.Have[za0002].Known)
+		// string "sequence"
+		o = append(o, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
+		o = msgp.AppendUint64(o, z.Have[za0002].Sequence)
 	}
 	// string "incarnation"
 	o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
@@ -3209,6 +3212,12 @@
 							err = msgp.WrapError(err, "Have", za0002, "Known")
 							return
 						}
+					case "sequence":
+						z.Have[za0002].Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Have", za0002, "Sequence")
+							return
+						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -3339,7 +3348,7 @@
 	for za0001 := range z.Counts {
 		s += z.Counts[za0001].Msgsize()
 	}
-	s += 5 + msgp.ArrayHeaderSize + (len(z.Have) * (12 + msgp.Uint64Size + msgp.BoolSize)) + 12 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
+	s += 5 + msgp.ArrayHeaderSize + (len(z.Have) * (21 + msgp.Uint64Size + msgp.BoolSize + msgp.Uint64Size)) + 12 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
 	for za0003 := range z.Limits {
 		s += z.Limits[za0003].Msgsize()
 	}
@@ -3350,10 +3359,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ReplicaObject) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 9
 	// string "created"
-	o = append(o, 0x86, 0xa7, 0x63, 0x72, 0x65, 0x61, 0x74, 0x65, 0x64)
+	o = append(o, 0x89, 0xa7, 0x63, 0x72, 0x65, 0x61, 0x74, 0x65, 0x64)
 	o = msgp.AppendUint64(o, z.Created)
+	// string "incarnation"
+	o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.Incarnation)
 	// string "lapsed"
 	o = append(o, 0xa6, 0x6c, 0x61, 0x70, 0x73, 0x65, 0x64)
 	o = msgp.AppendBool(o, z.Lapsed)
@@ -3363,12 +3375,18 @@
 	// string "revision"
 	o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, z.Revision)
+	// string "sequence"
+	o = append(o, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
+	o = msgp.AppendUint64(o, z.Sequence)
 	// string "spec"
 	o = append(o, 0xa4, 0x73, 0x70, 0x65, 0x63)
 	o = msgp.AppendString(o, z.Spec)
 	// string "status"
 	o = append(o, 0xa6, 0x73, 0x74, 0x61, 0x74, 0x75, 0x73)
 	o = msgp.AppendString(o, z.Status)
+	// string "withheld"
+	o = append(o, 0xa8, 0x77, 0x69, 0x74, 0x68, 0x68, 0x65, 0x6c, 0x64)
+	o = msgp.AppendBool(o, z.Withheld)
 	return
 }
 
@@ -3400,6 +3418,12 @@
 				err = msgp.WrapError(err, "Created")
 				return
 			}
+		case "incarnation":
+			z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Incarnation")
+				return
+			}
 		case "lapsed":
 			z.Lapsed, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -3418,6 +3442,12 @@
 				err = msgp.WrapError(err, "Revision")
 				return
 			}
+		case "sequence":
+			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sequence")
+				return
+			}
 		case "spec":
 			z.Spec, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -3430,6 +3460,12 @@
 				err = msgp.WrapError(err, "Status")
 				return
 			}
+		case "withheld":
+			z.Withheld, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Withheld")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3444,20 +3480,23 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ReplicaObject) Msgsize() (s int) {
-	s = 1 + 8 + msgp.Uint64Size + 7 + msgp.BoolSize + 5 + msgp.StringPrefixSize + len(z.Name) + 9 + msgp.Uint64Size + 5 + msgp.StringPrefixSize + len(z.Spec) + 7 + msgp.StringPrefixSize + len(z.Status)
+	s = 1 + 8 + msgp.Uint64Size + 12 + msgp.Uint64Size + 7 + msgp.BoolSize + 5 + msgp.StringPrefixSize + len(z.Name) + 9 + msgp.Uint64Size + 9 + msgp.Uint64Size + 5 + msgp.StringPrefixSize + len(z.Spec) + 7 + msgp.StringPrefixSize + len(z.Status) + 9 + msgp.BoolSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z ReplicaRevision) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "asOf"
-	o = append(o, 0x82, 0xa4, 0x61, 0x73, 0x4f, 0x66)
+	o = append(o, 0x83, 0xa4, 0x61, 0x73, 0x4f, 0x66)
 	o = msgp.AppendUint64(o, z.AsOf)
 	// string "known"
 	o = append(o, 0xa5, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
 	o = msgp.AppendBool(o, z.Known)
+	// string "sequence"
+	o = append(o, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
+	o = msgp.AppendUint64(o, z.Sequence)
 	return
 }
 
@@ -3495,6 +3534,12 @@
 				err = msgp.WrapError(err, "Known")
 				return
 			}
+		case "sequence":
+			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sequence")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3509,7 +3554,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z ReplicaRevision) Msgsize() (s int) {
-	s = 1 + 5 + msgp.Uint64Size + 6 + msgp.BoolSize
+	s = 1 + 5 + msgp.Uint64Size + 6 + msgp.BoolSize + 9 + msgp.Uint64Size
 	return
 }
 
--- a/pkg/message/types_gen.go
+++ b/pkg/message/types_gen.go
@@ -335,7 +335,7 @@
 
 // Changes of one object kind.
 type ReplicaDelta struct {
-	// Store revision after the change.
+	// Store era and revision after the change, encoded.
 	AsOf uint64 `msg:"asOf"`
 
 	// The objects are all objects of the kind.
@@ -378,32 +378,45 @@
 
 // Replicated object of the store.
 type ReplicaObject struct {
-	// Store revision of the creation.
+	// Store era and revision of the creation, encoded.
 	Created uint64 `msg:"created"`
 
+	// Incarnation of the object's writer, 0 if it has none.
+	Incarnation uint64 `msg:"incarnation"`
+
 	// The object disappeared while the store was unavailable and may return.
 	Lapsed bool `msg:"lapsed"`
 
 	// Name of the object.
 	Name string `msg:"name"`
 
-	// Store revision of the last change.
+	// Store era and revision of the last change, encoded.
 	Revision uint64 `msg:"revision"`
 
+	// Count of the object's writer, 0 if it does not count.
+	Sequence uint64 `msg:"sequence"`
+
 	// Spec as stored.
 	Spec string `msg:"spec"`
 
 	// Status as stored.
 	Status string `msg:"status"`
+
+	// The object is in the store but not in force, because it contradicts what is
+	// known from an earlier era of the store.
+	Withheld bool `msg:"withheld"`
 }
 
 // State of a node's replica of one object kind.
 type ReplicaRevision struct {
-	// Store revision that the replica reflects.
+	// Store era and revision that the replica reflects, encoded.
 	AsOf uint64 `msg:"asOf"`
 
 	// The node has read the kind at least once.
 	Known bool `msg:"known"`
+
+	// Version of the newest configuration, 0 for other kinds.
+	Sequence uint64 `msg:"sequence"`
 }
 
 // Request counts of one route and version since the previous report.
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -6,12 +6,17 @@
 
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	"github.com/fireflychute/fireflychute/pkg/revision"
 )
 
 var start = time.Unix(1000, 0)
 
-func object(name string, revision, created uint64) Object {
-	return Object{Name: name, Revision: revision, Created: created}
+// at returns a revision of era 0.
+func at(number uint64) revision.Revision { return revision.Decode(number) }
+
+func object(name string, changed, created uint64) Object {
+	return Object{Name: name, Revision: at(changed), Created: at(created)}
 }
 
 // Guards against a delayed list, a delayed event or a peer that lags behind replacing a newer
@@ -19,25 +24,25 @@
 func TestOlderObjectsAreIgnored(t *testing.T) {
 	old := object("main", 5, 1)
 	outdated := map[string]func(r *Replica){
-		"delayed list":  func(r *Replica) { r.Replace(start, Configurations, 6, []Object{old}, false) },
-		"delayed event": func(r *Replica) { r.Apply(start, Configurations, 6, []Event{{Object: old}}, false) },
+		"delayed list":  func(r *Replica) { r.Replace(start, Configurations, at(6), []Object{old}, false) },
+		"delayed event": func(r *Replica) { r.Apply(start, Configurations, at(6), []Event{{Object: old}}, false) },
 		"lagging peer": func(r *Replica) {
-			r.Merge(start, Delta{Kind: Configurations, Full: true, AsOf: 6, Objects: []Object{old}})
+			r.Merge(start, Delta{Kind: Configurations, Full: true, AsOf: at(6), Objects: []Object{old}})
 		},
 		"lagging peer's removal": func(r *Replica) {
-			r.Merge(start, Delta{Kind: Configurations, AsOf: 6, Removed: []string{"main"}})
+			r.Merge(start, Delta{Kind: Configurations, AsOf: at(6), Removed: []string{"main"}})
 		},
 	}
 	for name, deliver := range outdated {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			r := New()
-			r.Replace(start, Configurations, 9, []Object{object("main", 8, 1)}, false)
+			r.Replace(start, Configurations, at(9), []Object{object("main", 8, 1)}, false)
 			deliver(r)
 			stored, ok := r.Object(Configurations, "main")
 			g.Expect(ok).To(BeTrue())
-			g.Expect(stored.Revision).To(Equal(uint64(8)))
-			g.Expect(r.AsOf(Configurations)).To(Equal(uint64(9)))
+			g.Expect(stored.Revision).To(Equal(at(8)))
+			g.Expect(r.AsOf(Configurations)).To(Equal(at(9)))
 		})
 	}
 }
@@ -47,10 +52,10 @@
 func TestRemovedObjectsReturnOnlyWhenRecreated(t *testing.T) {
 	g := NewWithT(t)
 	r := New()
-	r.Replace(start, Targets, 9, []Object{object("a", 8, 3)}, false)
-	r.Apply(start, Targets, 12, []Event{{Object: object("a", 8, 3), Deleted: true}}, false)
-	g.Expect(r.Merge(start, Delta{Kind: Targets, AsOf: 11, Objects: []Object{object("a", 10, 3)}})).To(BeFalse())
-	g.Expect(r.Apply(start, Targets, 14, []Event{{Object: object("a", 13, 13)}}, false)).To(BeTrue())
+	r.Replace(start, Targets, at(9), []Object{object("a", 8, 3)}, false)
+	r.Apply(start, Targets, at(12), []Event{{Object: object("a", 8, 3), Deleted: true}}, false)
+	g.Expect(r.Merge(start, Delta{Kind: Targets, AsOf: at(11), Objects: []Object{object("a", 10, 3)}})).To(BeFalse())
+	g.Expect(r.Apply(start, Targets, at(14), []Event{{Object: object("a", 13, 13)}}, false)).To(BeTrue())
 	_, ok := r.Object(Targets, "a")
 	g.Expect(ok).To(BeTrue())
 }
@@ -60,10 +65,10 @@
 func TestLapsedObjectsExpireUnlessRecreated(t *testing.T) {
 	g := NewWithT(t)
 	r := New()
-	r.Replace(start, Targets, 9, []Object{object("alive", 5, 2), object("dead", 6, 3)}, false)
-	r.Replace(start, Targets, 20, nil, true)
+	r.Replace(start, Targets, at(9), []Object{object("alive", 5, 2), object("dead", 6, 3)}, false)
+	r.Replace(start, Targets, at(20), nil, true)
 	g.Expect(r.Objects(Targets)).To(HaveLen(2))
-	r.Apply(start.Add(time.Second), Targets, 22, []Event{{Object: object("alive", 21, 21)}}, true)
+	r.Apply(start.Add(time.Second), Targets, at(22), []Event{{Object: object("alive", 21, 21)}}, true)
 	g.Expect(r.Expire(start.Add(lapseRetention - time.Millisecond))).To(BeFalse())
 	g.Expect(r.Expire(start.Add(lapseRetention))).To(BeTrue())
 	g.Expect(r.Objects(Targets)).To(HaveLen(1))
@@ -76,8 +81,8 @@
 func TestLapsedObjectsAreExtendedWhileTheStoreIsUnreachable(t *testing.T) {
 	g := NewWithT(t)
 	r := New()
-	r.Replace(start, Targets, 9, []Object{object("a", 5, 2)}, false)
-	r.Replace(start, Targets, 20, nil, true)
+	r.Replace(start, Targets, at(9), []Object{object("a", 5, 2)}, false)
+	r.Replace(start, Targets, at(20), nil, true)
 	r.ExtendLapsed(start.Add(lapseRetention - time.Millisecond))
 	g.Expect(r.Expire(start.Add(lapseRetention))).To(BeFalse())
 	g.Expect(r.Expire(start.Add(2*lapseRetention - time.Millisecond))).To(BeTrue())
@@ -101,8 +106,8 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			r := New()
-			r.Replace(start, Targets, 9, []Object{object("a", 5, 2)}, false)
-			r.Apply(start, Targets, 40, c.events, c.lapse)
+			r.Replace(start, Targets, at(9), []Object{object("a", 5, 2)}, false)
+			r.Apply(start, Targets, at(40), c.events, c.lapse)
 			r.Expire(start.Add(lapseRetention))
 			found, ok := r.Object(Targets, "a")
 			g.Expect(ok).To(Equal(c.stays))
@@ -110,8 +115,8 @@
 				g.Expect(found).To(Equal(object("a", 12, 12)))
 			}
 			peer := New()
-			delta, _ := r.DeltaSince(Targets, 9, true)
-			peer.Replace(start, Targets, 9, []Object{object("a", 5, 2)}, false)
+			delta, _ := r.DeltaSince(Targets, Position{Loaded: true, AsOf: at(9)})
+			peer.Replace(start, Targets, at(9), []Object{object("a", 5, 2)}, false)
 			peer.Merge(start, delta)
 			g.Expect(peer.Objects(Targets)).To(HaveLen(len(r.Objects(Targets))), "a peer has the same objects")
 		})
@@ -124,11 +129,11 @@
 	g := NewWithT(t)
 	withRemoval, withLapse := New(), New()
 	for _, r := range []*Replica{withRemoval, withLapse} {
-		r.Replace(start, Targets, 9, []Object{object("a", 8, 3)}, false)
+		r.Replace(start, Targets, at(9), []Object{object("a", 8, 3)}, false)
 	}
-	withRemoval.Apply(start, Targets, 12, []Event{{Object: object("a", 8, 3), Deleted: true}}, false)
-	withLapse.Apply(start, Targets, 13, []Event{{Object: object("a", 8, 3), Deleted: true}}, true)
-	delta, ok := withLapse.DeltaSince(Targets, 12, true)
+	withRemoval.Apply(start, Targets, at(12), []Event{{Object: object("a", 8, 3), Deleted: true}}, false)
+	withLapse.Apply(start, Targets, at(13), []Event{{Object: object("a", 8, 3), Deleted: true}}, true)
+	delta, ok := withLapse.DeltaSince(Targets, Position{Loaded: true, AsOf: at(12)})
 	g.Expect(ok).To(BeTrue())
 	withRemoval.Merge(start, delta)
 	g.Expect(withRemoval.Objects(Targets)).To(BeEmpty())
@@ -138,12 +143,12 @@
 func TestPeerBehindTheTombstonesGetsTheWholeKind(t *testing.T) {
 	g := NewWithT(t)
 	r := New()
-	r.Replace(start, Targets, 1, []Object{object("stays", 1, 1)}, false)
+	r.Replace(start, Targets, at(1), []Object{object("stays", 1, 1)}, false)
 	for revision := uint64(2); revision < 2*maxTombstones+10; revision += 2 {
-		r.Apply(start, Targets, revision, []Event{{Object: object("t", revision, revision)}}, false)
-		r.Apply(start, Targets, revision+1, []Event{{Object: object("t", revision, revision), Deleted: true}}, false)
+		r.Apply(start, Targets, at(revision), []Event{{Object: object("t", revision, revision)}}, false)
+		r.Apply(start, Targets, at(revision+1), []Event{{Object: object("t", revision, revision), Deleted: true}}, false)
 	}
-	delta, ok := r.DeltaSince(Targets, 2, true)
+	delta, ok := r.DeltaSince(Targets, Position{Loaded: true, AsOf: at(2)})
 	g.Expect(ok).To(BeTrue())
 	g.Expect(delta.Full).To(BeTrue())
 	g.Expect(delta.Objects).To(HaveLen(1))
@@ -167,9 +172,9 @@
 		m.revisions = append(m.revisions, m.revision)
 		return
 	}
-	next := Object{Name: name, Revision: m.revision, Created: current.Created}
+	next := Object{Name: name, Revision: at(m.revision), Created: current.Created}
 	if !exists {
-		next.Created = m.revision
+		next.Created = at(m.revision)
 	}
 	m.objects[name] = next
 	m.history = append(m.history, Event{Object: next})
@@ -207,14 +212,14 @@
 				for _, o := range store.objects {
 					all = append(all, o)
 				}
-				r.Replace(now, Targets, store.revision, all, lapse)
+				r.Replace(now, Targets, at(store.revision), all, lapse)
 			case 2:
 				if r.IsLoaded(Targets) {
-					r.Apply(now, Targets, store.revision, store.since(before), lapse)
+					r.Apply(now, Targets, at(store.revision), store.since(before.Number()), lapse)
 				}
 			case 3:
 				from := rapid.SampledFrom(replicas).Draw(t, "from")
-				delta, ok := from.DeltaSince(Targets, before, r.IsLoaded(Targets))
+				delta, ok := from.DeltaSince(Targets, r.Position(Targets))
 				if ok {
 					r.Merge(now, delta)
 				}
@@ -224,16 +229,16 @@
 					r.Expire(now)
 				}
 			}
-			g.Expect(r.AsOf(Targets)).To(BeNumerically(">=", before))
+			g.Expect(before.After(r.AsOf(Targets))).To(BeFalse())
 			for _, r := range replicas {
-				if r.IsLoaded(Targets) && r.AsOf(Targets) == store.revision {
+				if r.IsLoaded(Targets) && r.AsOf(Targets) == at(store.revision) {
 					g.Expect(unlapsed(r)).To(Equal(store.objects))
 				}
 			}
 		}
 		for _, r := range replicas {
 			r.Expire(now.Add(lapseRetention))
-			if r.IsLoaded(Targets) && r.AsOf(Targets) == store.revision {
+			if r.IsLoaded(Targets) && r.AsOf(Targets) == at(store.revision) {
 				g.Expect(r.Objects(Targets)).To(HaveLen(len(store.objects)), "no entry stays lapsed indefinitely")
 			}
 		}
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -59,6 +59,7 @@
 	HealthChecks      = "fireflychute.probes"
 	PlatformCalls     = "fireflychute.platform.calls"
 	PlatformFailures  = "fireflychute.platform.failures"
+	PlatformRestores  = "fireflychute.platform.restores"
 	Snapshots         = "fireflychute.snapshots"
 	VersionsBlocked   = "fireflychute.versions.blocked"
 	FactsDropped      = "fireflychute.facts.dropped"
@@ -112,6 +113,7 @@
 var EdgeMetrics = []Metric{
 	{LoadProbes, ObservedCounter, "{question}", "Load questions asked before sends.", nil},
 	{LoadProbeFailures, ObservedCounter, "{question}", "Load questions without an answer.", nil},
+	{PlatformRestores, ObservedCounter, "{restore}", "Times that the platform's store came back from an older copy.", nil},
 	{LimitedTargets, Gauge, "{target}", "Targets of which the node knows a limit for all nodes together.", nil},
 	{LimitedSends, ObservedCounter, "{send}", "Requests and load probes sent to targets of which the node knew a limit, by carrier (request, retry, hedge, probe).", []string{"carrier"}},
 	{LimitUnits, ObservedCounter, "{unit}", "Units of limits and of the warm-up rate of cold targets, by result: own share, granted by another node, refused, or failed because an owner did not reply.", []string{"result"}},
--- a/pkg/topology/build.go
+++ b/pkg/topology/build.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fireflychute/fireflychute/pkg/catalog"
+	"github.com/fireflychute/fireflychute/pkg/revision"
 )
 
 // newVersionGracePeriod is how long a version that appears beside an existing one is kept out of the
@@ -37,6 +38,8 @@
 	catalog.Rollout
 	Name string
 	ID   uint64
+	// Created is the revision at which the object was created.
+	Created revision.Revision
 }
 
 // Owns reports whether a step belongs to the order's rollout.
--- a/testbed/instance/instance.go
+++ b/testbed/instance/instance.go
@@ -79,7 +79,9 @@
 	naming []Naming
 	runs   []Run
 	probes int
-	dials  int
+	// entries counts the entries made for the store.
+	entries int
+	dials   int
 	// arrivals holds the arrival times of requests and load probes.
 	arrivals []time.Time
 }
@@ -114,10 +116,13 @@
 // Entry returns the entry that the instance writes to the platform's store if it is reachable at
 // the address.
 func (i *Instance) Entry(address, version, state string) map[string]any {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.entries++
 	return map[string]any{
 		"address": address, "born": 1700000000000,
 		"info":   map[string]any{"service": "s", "version": version, "zone": "dc1", "slots": i.options.Slots},
-		"status": map[string]any{"state": state, "seq": 1, "warmup-left-s": 0},
+		"status": map[string]any{"state": state, "seq": i.entries, "warmup-left-s": 0},
 	}
 }
 
--- a/testbed/metastore/server.go
+++ b/testbed/metastore/server.go
@@ -59,11 +59,20 @@
 	return s
 }
 
+// eraHeader is in all responses: the number of times that the store was restored.
+const eraHeader = "Store-Era"
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	setEra(w, s.Store.Era())
 	s.mux.ServeHTTP(w, r)
 }
 
+// setEra sets the era of a response, which is that of the state that it tells.
+func setEra(w http.ResponseWriter, era uint64) {
+	w.Header().Set(eraHeader, strconv.FormatUint(era, 10))
+}
+
 // SetFaults replaces the injected faults.
 func (s *Server) SetFaults(faults Faults) {
 	s.admission.mu.Lock()
@@ -152,7 +161,8 @@
 }
 
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
-	object, exists := s.Store.Get(r.PathValue("kind"), r.PathValue("name"))
+	object, era, exists := s.Store.getWithEra(r.PathValue("kind"), r.PathValue("name"))
+	setEra(w, era)
 	if !exists {
 		w.WriteHeader(http.StatusNotFound)
 		return
@@ -165,8 +175,9 @@
 		s.watch(w, r)
 		return
 	}
-	objects, more, revision := s.Store.page(r.PathValue("kind"), r.URL.Query().Get("after"), maxPage)
-	writeJSON(w, http.StatusOK, map[string]any{"items": objects, "more": more, "as-of": revision})
+	objects, more, at := s.Store.page(r.PathValue("kind"), r.URL.Query().Get("after"), maxPage)
+	setEra(w, at.era)
+	writeJSON(w, http.StatusOK, map[string]any{"items": objects, "more": more, "as-of": at.revision})
 }
 
 func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
@@ -183,19 +194,20 @@
 		writeJSON(w, http.StatusOK, map[string]any{"events": []Event{}, "as-of": from})
 		return
 	}
-	events, revision, ok := s.Store.watch(r.Context(), r.PathValue("kind"), from, maxWait)
+	events, at, ok := s.Store.watch(r.Context(), r.PathValue("kind"), from, maxWait)
 	if s.admission.isSilent() {
 		<-r.Context().Done()
 		return
 	}
 	fail, _ = s.admission.watchFaults()
+	setEra(w, at.era)
 	switch {
 	case fail:
 		panic(http.ErrAbortHandler)
 	case !ok:
 		w.WriteHeader(http.StatusGone)
 	default:
-		writeJSON(w, http.StatusOK, map[string]any{"events": events, "as-of": revision})
+		writeJSON(w, http.StatusOK, map[string]any{"events": events, "as-of": at.revision})
 	}
 }
 
@@ -224,6 +236,7 @@
 	}
 	s.Store.mu.Lock()
 	defer s.Store.mu.Unlock()
+	setEra(w, s.Store.era)
 	kind := r.PathValue("kind")
 	current, exists := s.Store.kinds[kind][submitted.Metadata.Name]
 	if exists {
@@ -249,6 +262,7 @@
 	}
 	s.Store.mu.Lock()
 	defer s.Store.mu.Unlock()
+	setEra(w, s.Store.era)
 	kind := r.PathValue("kind")
 	current, exists := s.Store.kinds[kind][r.PathValue("name")]
 	switch {
@@ -265,6 +279,7 @@
 func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
 	s.Store.mu.Lock()
 	defer s.Store.mu.Unlock()
+	setEra(w, s.Store.era)
 	kind := r.PathValue("kind")
 	current, exists := s.Store.kinds[kind][r.PathValue("name")]
 	revision, _ := strconv.ParseUint(r.URL.Query().Get("rev"), 10, 64)
--- a/testbed/metastore/store.go
+++ b/testbed/metastore/store.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -50,8 +51,10 @@
 type Store struct {
 	mu       sync.Mutex
 	revision uint64
-	kinds    map[string]map[string]Object
-	history  []change
+	// era is the number of times that the store was restored.
+	era     uint64
+	kinds   map[string]map[string]Object
+	history []change
 	// compactedRevision is the last revision dropped from the history.
 	compactedRevision uint64
 	// changed is closed and replaced at each change, which notifies waiting watches.
@@ -93,10 +96,56 @@
 
 // Get returns an object.
 func (s *Store) Get(kind, name string) (Object, bool) {
+	object, _, ok := s.getWithEra(kind, name)
+	return object, ok
+}
+
+// getWithEra returns an object and the era in which the store had it.
+func (s *Store) getWithEra(kind, name string) (object Object, era uint64, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	object, ok := s.kinds[kind][name]
-	return object, ok
+	object, ok = s.kinds[kind][name]
+	return object, s.era, ok
+}
+
+// Copy is the state of a store at one time.
+type Copy struct {
+	revision, compactedRevision uint64
+	kinds                       map[string]map[string]Object
+	history                     []change
+}
+
+// Copy returns a copy of the present state.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{revision: s.revision, compactedRevision: s.compactedRevision, kinds: cloneKinds(s.kinds), history: slices.Clone(s.history)}
+}
+
+// Restore replaces the state by a copy, in a new era. Revisions since the copy are given out again, and
+// watches from one of them fail with 410.
+func (s *Store) Restore(from Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.compactedRevision = from.revision, from.compactedRevision
+	s.kinds, s.history = cloneKinds(from.kinds), slices.Clone(from.history)
+	s.notifyWatches()
+}
+
+// Era returns the number of times that the store was restored.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+func cloneKinds(kinds map[string]map[string]Object) map[string]map[string]Object {
+	clone := make(map[string]map[string]Object, len(kinds))
+	for kind, objects := range kinds {
+		clone[kind] = maps.Clone(objects)
+	}
+	return clone
 }
 
 // Compact drops the history, so that watches from earlier revisions fail with 410.
@@ -109,13 +158,16 @@
 
 // List returns the objects of a kind, sorted by name, and the store's revision.
 func (s *Store) List(kind string) ([]Object, uint64) {
-	objects, _, revision := s.page(kind, "", math.MaxInt)
-	return objects, revision
+	objects, _, at := s.page(kind, "", math.MaxInt)
+	return objects, at.revision
 }
 
+// state is the position of the store at which it was read.
+type state struct{ era, revision uint64 }
+
 // page returns at most limit objects of a kind whose names follow after, sorted by name, and
 // whether there are more.
-func (s *Store) page(kind, after string, limit int) (objects []Object, more bool, revision uint64) {
+func (s *Store) page(kind, after string, limit int) (objects []Object, more bool, at state) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	objects = []Object{}
@@ -126,9 +178,9 @@
 	}
 	sort.Slice(objects, func(a, b int) bool { return objects[a].Metadata.Name < objects[b].Metadata.Name })
 	if len(objects) > limit {
-		return objects[:limit], true, s.revision
+		return objects[:limit], true, state{s.era, s.revision}
 	}
-	return objects, false, s.revision
+	return objects, false, state{s.era, s.revision}
 }
 
 // changesAfter returns the changes after a revision that the history still has. The caller must
@@ -194,33 +246,34 @@
 	s.changed = make(chan struct{})
 }
 
-// eventsSince returns the events of a kind after a revision, the store's revision, and a channel
-// that is closed at the next change. ok is false if the history no longer covers the revision.
-func (s *Store) eventsSince(kind string, from uint64) (events []Event, revision uint64, changed <-chan struct{}, ok bool) {
+// eventsSince returns the events of a kind after a revision, the store's position, and a channel
+// that is closed at the next change. ok is false if the history does not cover the revision.
+func (s *Store) eventsSince(kind string, from uint64) (events []Event, at state, changed <-chan struct{}, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if from < s.compactedRevision {
-		return nil, 0, nil, false
+	at = state{s.era, s.revision}
+	if from < s.compactedRevision || from > s.revision {
+		return nil, at, nil, false
 	}
-	return s.eventsAfter(kind, from), s.revision, s.changed, true
+	return s.eventsAfter(kind, from), at, s.changed, true
 }
 
-// watch waits up to wait for events of a kind after a revision. ok is false if the history no
-// longer covers the revision.
-func (s *Store) watch(ctx context.Context, kind string, from uint64, wait time.Duration) (events []Event, revision uint64, ok bool) {
+// watch waits up to wait for events of a kind after a revision. ok is false if the history does
+// not cover the revision.
+func (s *Store) watch(ctx context.Context, kind string, from uint64, wait time.Duration) (events []Event, at state, ok bool) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		events, revision, changed, ok := s.eventsSince(kind, from)
+		events, at, changed, ok := s.eventsSince(kind, from)
 		if !ok || len(events) > 0 {
-			return events, revision, ok
+			return events, at, ok
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return events, revision, true
+			return events, at, true
 		case <-ctx.Done():
-			return events, revision, true
+			return events, at, true
 		}
 	}
 }
