--- a/testbed/soak/cluster.go
+++ b/testbed/soak/cluster.go
@@ -42,8 +42,13 @@
 	mu            sync.Mutex
 	// version is the version of the configuration in the store; guarded by mu.
 	version int
+	// entries holds what each registered instance writes to the store; guarded by mu.
+	entries map[*instance.Instance]entry
 }
 
+// entry is what an instance tells in the store.
+type entry struct{ version, state string }
+
 // node is one node process and the proxy between it and the store.
 type node struct {
 	name, frontAddress, readyAddress, controlAddress string
@@ -58,7 +63,7 @@
 }
 
 func newCluster(dir, binary string, size size) (*cluster, error) {
-	w := &cluster{dir: dir, binary: binary, store: metastore.New(), instancePaths: map[*instance.Instance]*Proxy{}}
+	w := &cluster{dir: dir, binary: binary, store: metastore.New(), instancePaths: map[*instance.Instance]*Proxy{}, entries: map[*instance.Instance]entry{}}
 	w.server = metastore.NewServer(w.store)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -114,15 +119,28 @@
 	if err != nil {
 		return nil, err
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.instances = append(c.instances, started)
 	c.instancePaths[started] = path
 	return started, nil
 }
 
 func (c *cluster) register(i *instance.Instance, version, state string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entries[i] = entry{version, state}
 	c.store.Put("servers", i.ID(), i.Entry(c.instancePaths[i].Address(), version, state))
 }
 
+// unregister removes the entry of an instance.
+func (c *cluster) unregister(i *instance.Instance) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.entries, i)
+	c.store.Remove("servers", i.ID())
+}
+
 // configure writes the next version of the configuration to the store. Each version adds a route
 // named after it, which shows whether a node has applied it, and removes the route of two versions
 // before.
@@ -130,6 +148,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.version++
+	c.writeConfiguration()
+}
+
+// writeConfiguration writes the current version. The caller must hold the lock.
+func (c *cluster) writeConfiguration() {
 	path := func(prefix, kind string) map[string]any {
 		return map[string]any{
 			"name": prefix, "path-prefix": "/" + prefix + "/", "type": kind, "timeout-s": 2, "slo-s": 0.5,
--- a/testbed/soak/rollout.go
+++ b/testbed/soak/rollout.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/fireflychute/fireflychute/testbed/instance"
@@ -21,6 +22,8 @@
 // rollout is the only rollout of a soak; not every seed starts it.
 type rollout struct {
 	started, isBad bool
+	// isOrdered is set once the order was written.
+	isOrdered atomic.Bool
 }
 
 // start starts targets of another version and puts a rollout to it into the store. In half of the
@@ -42,6 +45,12 @@
 		}
 		s.cluster.register(added, "v2", "ready")
 	}
+	r.isOrdered.Store(true)
+	r.order(s)
+}
+
+// order writes the order to the store.
+func (r *rollout) order(s *soak) {
 	s.cluster.store.Put("rollouts", "s", map[string]any{"service": "s", "target-version": "v2", "duration-s": rolloutDuration.Seconds()})
 }
 
--- a/testbed/soak/soak.go
+++ b/testbed/soak/soak.go
@@ -60,6 +60,7 @@
 	// leaving.
 	leavingReportedAt map[int]time.Time
 	rollout           rollout
+	copies            storeCopies
 	// isLimited is set while an instance names a limit.
 	isLimited atomic.Bool
 }
@@ -116,6 +117,7 @@
 		}
 	}
 	running.Go(func() { s.watchConfiguration(ctx) })
+	running.Go(func() { s.copies.run(ctx, s.cluster.store) })
 	s.start = time.Now()
 	for time.Since(s.start) < s.options.Duration {
 		s.inject()
@@ -139,7 +141,7 @@
 func (s *soak) inject() {
 	n := s.cluster.nodes[s.rng.IntN(len(s.cluster.nodes))]
 	duration := 300*time.Millisecond + time.Duration(s.rng.Int64N(int64(3*time.Second)))
-	switch s.rng.IntN(14) {
+	switch s.rng.IntN(15) {
 	case 0:
 		s.restart(n, syscall.SIGTERM, drainTimeout)
 	case 1:
@@ -169,6 +171,8 @@
 		s.rollout.start(s)
 	case 13:
 		s.nameLimit()
+	case 14:
+		s.restoreStore()
 	}
 }
 
@@ -190,7 +194,7 @@
 		s.cluster.register(leaving, "v1", "draining")
 	case 1:
 		s.logFault("entry of %s is removed from the store", leaving.ID())
-		s.cluster.store.Remove("servers", leaving.ID())
+		s.cluster.unregister(leaving)
 	default:
 		s.logFault("%s reports in its responses that it is leaving", leaving.ID())
 		leaving.ReportLeaving()
--- a/tools/rolloutdays/main.go
+++ b/tools/rolloutdays/main.go
@@ -1,8 +1,8 @@
-// Command rolloutdays plays days with one rollout on the users' bench and counts how many break the exposure bound and how
-// many miss their end state. The days are drawn from seeds: durations, request rates, kinds and shares of faults, alone and
-// beside other disruptions.
+// Command rolloutdays plays days drawn from seeds on the users' bench and counts which rules they break. By default a day has
+// one rollout of a bad version: durations, request rates, kinds and shares of faults, alone and beside other disruptions. With
+// --good the version is good, and with --restored the store comes back from an older copy beside changes of all kinds.
 //
-//	GOWORK=off go -C tools run ./rolloutdays --bench BENCH --site SITE --repository DIR [--good] [--from N] [--days N] [--jobs N]
+//	GOWORK=off go -C tools run ./rolloutdays --bench BENCH --site SITE --repository DIR [--good | --restored] [--from N] [--days N] [--jobs N]
 //
 // DIR is a clone of the repository, in which the bench builds the system and leaves its journal entries.
 package main
@@ -23,7 +23,7 @@
 
 type options struct {
 	bench, site, repository, why string
-	good                         bool
+	good, restored               bool
 	from                         uint64
 	days, jobs                   int
 }
@@ -45,6 +45,7 @@
 	flag.StringVar(&o.repository, "repository", "", "clone of the repository to play")
 	flag.StringVar(&o.why, "why", "days of rollouts", "reason noted in the journal")
 	flag.BoolVar(&o.good, "good", false, "roll out good versions")
+	flag.BoolVar(&o.restored, "restored", false, "restore the store from an older copy")
 	flag.Uint64Var(&o.from, "from", 1, "first seed")
 	flag.IntVar(&o.days, "days", 40, "number of days")
 	flag.IntVar(&o.jobs, "jobs", 4, "days played at a time")
@@ -56,14 +57,14 @@
 		os.Exit(2)
 	}
 	if *onlyPrint {
-		fmt.Print(drawDay(o.from, services, o.good).text())
+		fmt.Print(dayText(o, drawDay(o.from, services, o.good)))
 		return
 	}
 	results := playAll(o, services)
 	for i := range results {
 		printResult(&results[i])
 	}
-	printSummary(results)
+	printSummary(o, results)
 }
 
 var serviceLine = regexp.MustCompile(`(?m)^\s*\{ name = "([^"]+)", servers = `)
@@ -97,6 +98,14 @@
 	return results
 }
 
+// dayText returns the text of a day in the format of the users' bench.
+func dayText(o options, d day) string {
+	if o.restored {
+		return drawRestoreDay(d.Seed).text()
+	}
+	return d.text()
+}
+
 // play plays one day. A day that could not be played has Failed set.
 func play(o options, d day) result {
 	r := result{day: d}
@@ -107,7 +116,7 @@
 	}
 	defer os.RemoveAll(folder)
 	dayFile, report := filepath.Join(folder, "day.toml"), filepath.Join(folder, "report.json")
-	err = os.WriteFile(dayFile, []byte(d.text()), 0o644)
+	err = os.WriteFile(dayFile, []byte(dayText(o, d)), 0o644)
 	if err != nil {
 		r.Failed = err.Error()
 		return r
@@ -171,7 +180,25 @@
 // group counts the days that have a property in common.
 type group struct{ days, exposed, otherRules, missed, notPlayed int }
 
-func printSummary(results []result) {
+// printRules prints how many days broke each rule.
+func printRules(results []result) {
+	days := map[string]int{}
+	for i := range results {
+		for rule := range results[i].Broken {
+			days[rule]++
+		}
+		if results[i].Failed != "" {
+			days["not played"]++
+		}
+	}
+	fmt.Printf("days %d, broken: %v\n", len(results), days)
+}
+
+func printSummary(o options, results []result) {
+	printRules(results)
+	if o.restored {
+		return
+	}
 	for _, by := range []struct {
 		name string
 		key  func(*result) string
