Believe only a rejection that names the request

Cause: load probes bear no request id. An instance that is full rejects a probe, and repeats the rejection late, in front of the answer to the next request on the connection. The header that says that nothing was run was honoured before the response's request id was compared. Class: a statement taken for one about the request at hand because of where it arrived.

Change: a response that does not bear the request's id says nothing about it, neither that it has not run nor that the address belongs to another target; its outcome is unknown.

Test: TestRejectionThatNamesNoRequestIsNotBelieved, which failed before at the first repeated rejection (a request answered with 503 had run); 30 rejections repeated, no request refused now.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -82,6 +82,10 @@
 	}
 	r.record.Status = response.StatusCode
 	r.info = c.handler.options.Protocol.ReadResponse(response.StatusCode, response.Header)
+	if r.info.RequestID != c.record.ID {
+		// It may be a late copy of the rejection of something else.
+		r.info.NotRun, r.info.OtherTarget = false, false
+	}
 	c.handler.applyAvailability(r.target, r.info.Availability)
 	if r.info.RequestID == c.record.ID && !r.info.OtherTarget {
 		c.handler.applyLimit(r.target, r.info.Limit, r.start)
