Keep a late version under trial until all requests have shown that it is good

Cause: where the bound leaves a promotion no time before the deadline, the version is late already, and was still completed as soon as the requests on the old targets had ended, 0.55 s after its promotion, on evidence of its canary share.

Change: completion that operators can no longer see in time, and that of a suspect version, waits until the version has had all requests for four seconds. The shortest plan gets 0.2 s of slack, since a promotion that the bound delays by a tick would be late now.

Test: TestClearEvidenceActsEarlyAndMissingEvidenceLate.

--- a/pkg/canary/decide.go
+++ b/pkg/canary/decide.go
@@ -30,11 +30,11 @@
 )
 
 // While a p-value is at or below suspicionLevel, a version is not reported complete until it has had all
-// requests for maxSuspicionTime, even if it is then late: more evidence arrives fast, and completion cannot
-// be undone.
+// requests for trialTime, even if it is then late: more evidence arrives fast, and completion cannot be
+// undone. The same holds for a version that is late already.
 const (
-	suspicionLevel   = 0.2
-	maxSuspicionTime = 4 * time.Second
+	suspicionLevel = 0.2
+	trialTime      = 4 * time.Second
 )
 
 // enoughRequests is how many requests a version must have got to be reported complete before the deadline
@@ -107,10 +107,17 @@
 	if p.BlockingNodes > 0 || p.FailurePValue <= SignificanceLevel {
 		return Decision{RollBack: true}
 	}
-	isDue := p.Elapsed >= p.Duration-reportMargin
-	settled := p.ShareAge >= settleTime && (isDue || p.Exposed >= enoughRequests) || isDue && p.ShareAge >= p.minFullShareTime()
-	isSuspect := min(p.FailurePValue, p.LatencyPValue) <= suspicionLevel && p.ShareAge < maxSuspicionTime
-	return Decision{Share: 1, Complete: settled && !isSuspect && p.LeaderTime >= takeoverTime}
+	isSuspect := min(p.FailurePValue, p.LatencyPValue) <= suspicionLevel
+	settled := false
+	switch {
+	case isSuspect || p.Elapsed >= p.Duration-statusDelay:
+		settled = p.ShareAge >= trialTime
+	case p.Elapsed >= p.Duration-reportMargin:
+		settled = p.ShareAge >= p.minFullShareTime()
+	default:
+		settled = p.ShareAge >= settleTime && p.Exposed >= enoughRequests
+	}
+	return Decision{Share: 1, Complete: settled && p.LeaderTime >= takeoverTime}
 }
 
 // promote gives a version all requests, or rolls it back if a p-value is significant or a node
--- a/pkg/canary/schedule.go
+++ b/pkg/canary/schedule.go
@@ -67,11 +67,14 @@
 	// maxDrainTime is the longest time for which requests that run on the old targets are waited
 	// for. It also applies while their latency is unknown.
 	maxDrainTime = 900 * time.Millisecond
-	// reportMargin is the time before the deadline at which completion is reported. Operators see the
-	// status some time after it was written.
-	reportMargin = 700 * time.Millisecond
-	// leaderSlack is how much earlier than necessary a version is promoted if the bound allows it.
+	// statusDelay is how long operators take to see a status. reportMargin is the time before the
+	// deadline at which completion is reported, so that they see it in time.
+	statusDelay  = 500 * time.Millisecond
+	reportMargin = statusDelay + 200*time.Millisecond
+	// leaderSlack is how much earlier than necessary a version is promoted if the bound allows it, minSlack
+	// the same where the bound leaves little.
 	leaderSlack = 300 * time.Millisecond
+	minSlack    = 200 * time.Millisecond
 	// countDelay is how long it takes until a request that was sent is in the leader's counts.
 	countDelay = 700 * time.Millisecond
 )
@@ -110,7 +113,7 @@
 	if budget >= minCanaryRequests {
 		return schedule{canaryEnd: p.Duration - preferred, canaryBudget: min(budget, most)}
 	}
-	shortest := p.promotionTime(p.OldP90Latency)
+	shortest := p.promotionTime(p.OldP90Latency) + minSlack
 	budget = allowed - upperCount(rate*shortest.Seconds())
 	if budget >= leastCanaryRequests {
 		return schedule{canaryEnd: p.Duration - shortest, canaryBudget: min(budget, minCanaryRequests)}
