Forget a withheld entry at followers when the store removes it

Cause: an entry of the copy that contradicts what is known is withheld until it is certain. A removal that a follower hears of from a delta ended entries in force only; the withheld one took effect when its time had come, for good.

Change: the removal ends the withheld entry too. Test: TestWithheldEntryEndsWithItsRemovalAtFollowers, which failed before.

--- a/pkg/replica/era_test.go
+++ b/pkg/replica/era_test.go
@@ -272,3 +272,30 @@
 		}
 	})
 }
+
+// Guards against a target that left before a restore and is used for good at the nodes that follow others: they hear of the
+// removal of its entry, which is not in force, from a delta.
+func TestWithheldEntryEndsWithItsRemovalAtFollowers(t *testing.T) {
+	g := NewWithT(t)
+	watcher, follower := New(), New()
+	old := entry("left", in(1, 10), in(1, 3), 5, "ready")
+	for _, r := range []*Replica{watcher, follower} {
+		r.Replace(start, Targets, in(1, 40), []Object{old}, false)
+		r.Apply(start, Targets, in(1, 45), []Event{{Object: old, Deleted: true}}, false)
+	}
+	copied := entry("left", in(2, 10), in(2, 3), 5, "ready")
+	watcher.Replace(start, Targets, in(2, 20), []Object{copied}, false)
+	follow := func() {
+		delta, ok := watcher.DeltaSince(Targets, follower.Position(Targets))
+		g.Expect(ok).To(BeTrue())
+		follower.Merge(start, delta)
+	}
+	follow()
+	g.Expect(follower.Objects(Targets)).To(BeEmpty())
+	watcher.Apply(start, Targets, in(2, 24), []Event{{Object: copied, Deleted: true}}, false)
+	follow()
+	for _, r := range []*Replica{watcher, follower} {
+		r.Expire(start.Add(time.Hour))
+		g.Expect(r.Objects(Targets)).To(BeEmpty())
+	}
+}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -248,6 +248,7 @@
 		changed = t.put(now, object, write) || changed
 	}
 	for _, name := range delta.Removed {
+		delete(t.withheld, name)
 		current, exists := t.objects[name]
 		switch {
 		case !exists:
